--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,495 @@
+//! The whole interface of the decision module: settings, events, actions and ids. Types only.
+//!
+//! All times are milliseconds. A `Balancer` is built from [`Settings`] and a seed; the embedding proxy
+//! then feeds it [`Event`]s and carries out the [`Action`]s it appends, in order.
+
+/// A time or a span of time, in milliseconds.
+pub type Millis = f64;
+/// Identifies a request for as long as the proxy holds it; never reused within one life of a balancer.
+pub type RequestId = u64;
+/// Identifies a backend; survives a restart of its process.
+pub type BackendId = u32;
+
+/// Whether, and where, a request that may have run can be sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Safe to repeat anywhere, at any time.
+    Repeatable,
+    /// Carries a key: a [`Scope`] of backends drops repeats for [`Class::window_ms`].
+    Keyed,
+    /// Must never run twice.
+    Once,
+}
+
+/// The backends that drop the repeats of one keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All backends of the tier.
+    All,
+    /// Those in the zone of the backend that may have run it.
+    Zone,
+    /// Those in the cell of the backend that may have run it.
+    Cell,
+}
+
+/// A class of requests. Classes are named by their place in [`Settings::classes`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name, for people; no decision reads it.
+    pub name: String,
+    /// An answer within this time earns the full worth.
+    pub aim_ms: Millis,
+    /// How much the aim grows for each millisecond of the request's work; 0 where it does not. No decision
+    /// reads it.
+    pub aim_stretch: f64,
+    /// How long a client waits in all, over its tries. No decision reads it.
+    pub deadline_ms: Millis,
+    /// Worth of one request.
+    pub worth: f64,
+    /// Part of the worth that an answer after the aim still earns.
+    pub late_worth: f64,
+    /// May it run again?
+    pub effect: Effect,
+    /// For keyed classes: who drops repeats.
+    pub scope: Scope,
+    /// For keyed classes: for how long, from the send of the first attempt that may have run.
+    pub window_ms: Millis,
+    /// Its answers are streams: [`Event::FirstByte`] comes. No decision reads it.
+    pub streaming: bool,
+}
+
+/// A tenant, named by its place in [`Settings::tenants`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// Its name, for people; no decision reads it.
+    pub name: String,
+    /// Requests a second, over all copies together, that are within its share.
+    pub allowance_per_s: f64,
+    /// Its part of the service. No decision reads it.
+    pub fraction: f64,
+}
+
+/// One value of a load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportField {
+    /// Requests the backend holds.
+    Active,
+    /// Requests that wait for service.
+    Waiting,
+    /// Part of its CPU in use.
+    Cpu,
+    /// Recent service time, in milliseconds.
+    LatencyMs,
+    /// Requests served a second.
+    PerSecond,
+    /// Errors a second.
+    ErrorsPerSecond,
+    /// A value this version does not know; it is passed over.
+    Unknown,
+}
+
+/// When load reports come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportVia {
+    /// With outcomes and with probe results.
+    Inline,
+    /// With probe results only.
+    Probe,
+    /// Never.
+    Off,
+}
+
+/// What a backend's rating means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weights {
+    /// Always 1.
+    Off,
+    /// The registered size.
+    Nominal,
+    /// About the size.
+    Rough,
+    /// Size over 1 + load a core, some time ago.
+    Live,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rules {
+    /// A final answer may come this long after the client's deadline. No decision reads it.
+    pub answer_grace_ms: Millis,
+    /// Sends to a draining or gone backend must stop within this time. No decision reads it.
+    pub drain_grace_ms: Millis,
+    /// Without a subscription, a copy that has not asked for this long counts as told.
+    pub ask_within_ms: Millis,
+    /// A backend starts with this part of its capacity or more.
+    pub cold_from: f64,
+    /// And is warm after this time at the latest.
+    pub cold_ms: Millis,
+    /// A cold backend that gets more than this multiple of its present capacity ...
+    pub fall_multiple: f64,
+    /// ... for this long falls over.
+    pub fall_ms: Millis,
+}
+
+/// What this deployment permits.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Allowed {
+    /// [`Action::Cancel`] may be used.
+    pub cancel: bool,
+    /// [`Action::Probe`] may be used. No decision reads it.
+    pub probe: bool,
+    /// Two attempts of one request may be out at once. No decision reads it.
+    pub parallel: bool,
+    /// Clients are told [`Action::Refuse::retry_after_ms`]. No decision reads it.
+    pub retry_after: bool,
+    /// The longest such wait that a client follows. No decision reads it.
+    pub max_retry_after_ms: Millis,
+    /// The most attempts for one request.
+    pub max_attempts: u32,
+    /// The most requests a copy holds at once. No decision reads it: more never reach the copy.
+    pub max_open: u32,
+    /// [`Action::Message`] may be used. No decision reads it: copies share nothing.
+    pub peers: bool,
+    /// Connections close after this long without use. No decision reads it.
+    pub idle_close_ms: Millis,
+    /// An attempt without a connection by then ends as [`Outcome::ConnectFailed`]. No decision reads it.
+    pub connect_timeout_ms: Millis,
+    /// Attempts that one connection carries at once. No decision reads it.
+    pub streams_per_connection: u32,
+    /// CPU a copy may use, in microseconds a second. No decision reads it.
+    pub cpu_us_per_s: f64,
+    /// CPU for a request with its outcomes, in microseconds; 0 for no limit. No decision reads it.
+    pub cpu_us_per_request: f64,
+}
+
+/// Points taken off the result, each times its share or rate. Decisions read `cross_zone` alone.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Prices {
+    /// For attempts that go to another zone, as a part of first tries.
+    pub cross_zone: f64,
+    /// For backend work that served no answer, as a part of the work offered.
+    pub waste: f64,
+    /// For worth left unserved after its aim.
+    pub late_fail: f64,
+    /// For probes, each first try.
+    pub probe: f64,
+    /// For connections open on average, over 100 times the backends.
+    pub connection: f64,
+    /// For new connections, each first try.
+    pub handshake: f64,
+    /// For list lines, over 100 for each first try.
+    pub list_lines: f64,
+    /// For backends running or ordered, as a part of those at the start.
+    pub fleet: f64,
+    /// For moves, each first try.
+    pub moves: f64,
+    /// For fetches from the origin, each first try.
+    pub origin: f64,
+    /// For bytes to other copies, over 256 for each first try.
+    pub peer: f64,
+}
+
+/// How the parts of the result are weighted; they sum to about 1.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Objective {
+    /// The whole run.
+    pub whole: f64,
+    /// The worst stretch of it.
+    pub worst_window: f64,
+    /// The worst-served class.
+    pub worst_class: f64,
+    /// The worst-served tenant, within its share. No decision reads it.
+    pub worst_tenant: f64,
+    /// The nines served, over spans of five seconds. No decision reads it.
+    pub nines: f64,
+    /// The nines that earn `nines` in full. No decision reads it.
+    pub full_at_nines: f64,
+}
+
+/// Everything a balancer is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The number of this copy, from 0.
+    pub rank: u32,
+    /// How many copies send to this tier; may be out of date later on.
+    pub fleet_size: u32,
+    /// The zone of this copy.
+    pub zone: u16,
+    /// The tier this copy sends to, from 0 at the top.
+    pub stage: u32,
+    /// The tiers' names, from the top, for people; no decision reads them.
+    pub stages: Vec<String>,
+    /// The zones' names, for people; no decision reads them.
+    pub zones: Vec<String>,
+    /// The kinds of machine, for people; no decision reads them.
+    pub machine_kinds: Vec<String>,
+    /// The kind of service, for people; no decision reads it.
+    pub service: String,
+    /// Whether a call between tiers carries the time its caller has left.
+    pub passes_deadline: bool,
+    /// Whether a backend that served a key lately needs less work for it. No decision reads it.
+    pub warm_keys: bool,
+    /// Whether clients mark what they send again. No decision reads it.
+    pub marks_retry: bool,
+    /// Whether list changes come only after [`Action::Subscribe`].
+    pub must_subscribe: bool,
+    /// Worth goes by work, as told by the hint, and not by request. No decision reads it.
+    pub worth_by_work: bool,
+    /// Worth of a request over its tenant's share, as a part of its class's. No decision reads it.
+    pub over_share_worth: f64,
+    /// The shortest time between two batches of events.
+    pub tick_ms: Millis,
+    /// What ratings mean. No decision reads it.
+    pub weights: Weights,
+    /// The values of a load report, in order; empty where there are none.
+    pub report: Vec<ReportField>,
+    /// When load reports come. No decision reads it.
+    pub report_via: ReportVia,
+    /// The classes.
+    pub classes: Vec<Class>,
+    /// The tenants; may be empty.
+    pub tenants: Vec<Tenant>,
+    /// The figures of the rules.
+    pub rules: Rules,
+    /// What is permitted.
+    pub allowed: Allowed,
+    /// What things cost.
+    pub prices: Prices,
+    /// What counts.
+    pub objective: Objective,
+}
+
+/// A load report: the first `len` values count, in the order of [`Settings::report`].
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// How many values there are; 0 where no report came.
+    pub len: u8,
+    /// The values.
+    pub values: [f32; 4],
+}
+
+/// The state discovery gives for a backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendState {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has; send nothing new.
+    Draining,
+    /// It is removed.
+    Gone,
+}
+
+/// One line of the backend list.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BackendInfo {
+    /// Which backend.
+    pub id: BackendId,
+    /// Its zone.
+    pub zone: u16,
+    /// Its kind of machine. No decision reads it.
+    pub kind: u8,
+    /// Its cell: a group that shares the keys it has seen.
+    pub cell: u16,
+    /// May it be sent to?
+    pub state: BackendState,
+    /// Relative size, as [`Settings::weights`] says.
+    pub rating: f64,
+    /// Clock time of its last start; `None` if long ago.
+    pub started_at: Option<Millis>,
+}
+
+/// What a [`Event::BackendsChanged`] carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Only the changed entries.
+    Delta,
+    /// The whole list: what is not in it is gone.
+    Full,
+    /// The whole list as this copy had it last; may be old.
+    Cached,
+    /// A call to discovery failed or the subscription broke; no entries.
+    Failed,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Ok,
+    /// The backend answered with an error; it may have run.
+    Error,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time; it may have run, or may yet.
+    Timeout,
+    /// No connection; it never ran.
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// Not sent at all.
+    Moot,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// What happens to a balancer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Event<'a> {
+    /// News of the backends. A `Cached` list comes first in a balancer's life.
+    BackendsChanged {
+        /// How to read `backends`.
+        kind: ListKind,
+        /// The version of the list. No decision reads it: news is ordered and complete.
+        version: u32,
+        /// The entries.
+        backends: &'a [BackendInfo],
+    },
+    /// A request arrived; one final answer is owed within `ttl_ms`.
+    Request {
+        /// Its id.
+        id: RequestId,
+        /// What it is about; equal keys go together. No decision reads it.
+        key: Option<u64>,
+        /// Its class.
+        class: u8,
+        /// Its tenant.
+        tenant: u16,
+        /// Expected work, where the caller knows it.
+        hint_ms: Option<Millis>,
+        /// A client's repeat, where clients mark them. No decision reads it.
+        repeat: bool,
+        /// It writes. No decision reads it.
+        write: bool,
+        /// How long the client waits for this try.
+        ttl_ms: Millis,
+    },
+    /// A streamed answer has begun; the attempt now belongs to the client. No decision reads it.
+    FirstByte {
+        /// The request.
+        request: RequestId,
+        /// The number of the attempt.
+        attempt: u8,
+        /// Where from.
+        backend: BackendId,
+        /// Time since the send.
+        took_ms: Millis,
+    },
+    /// An attempt ended. Every send gets exactly one of these.
+    Outcome {
+        /// The request.
+        request: RequestId,
+        /// The number of the attempt, from 0 in the order of the sends.
+        attempt: u8,
+        /// Where it went.
+        backend: BackendId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time since the send.
+        took_ms: Millis,
+        /// The request is over; no final answer is owed any more.
+        ended: bool,
+        /// The backend's load report, if one came along.
+        report: Report,
+    },
+    /// The client has left; nothing more is owed.
+    ClientGone {
+        /// The request.
+        request: RequestId,
+    },
+    /// A timer of this balancer fell due.
+    Timer {
+        /// The token given with [`Action::SetTimer`].
+        token: u64,
+    },
+    /// A probe ended. No decision reads it: the module sends none.
+    ProbeResult {
+        /// The backend.
+        backend: BackendId,
+        /// `Ok`, or why not.
+        outcome: Outcome,
+        /// Time since the probe was sent.
+        took_ms: Millis,
+        /// Its load report, if any.
+        report: Report,
+    },
+    /// Bytes from another copy. This design shares nothing, so it is passed over.
+    Message {
+        /// Rank of the sender.
+        from: u16,
+        /// The bytes.
+        bytes: &'a [u8],
+    },
+}
+
+/// What a balancer wants done, in the order given.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start the next attempt of a request.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// Where to.
+        backend: BackendId,
+        /// Its time-out; 0 lasts until the client gives up.
+        timeout_ms: Millis,
+    },
+    /// Final answer: not served, and trying again is harmless.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// How long the client should stay away; 0 for no advice.
+        retry_after_ms: Millis,
+    },
+    /// Final answer: failed; promises nothing.
+    Fail {
+        /// The request.
+        request: RequestId,
+    },
+    /// Stop waiting for one attempt.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// The number of the attempt.
+        attempt: u8,
+    },
+    /// Ask for an [`Event::Timer`].
+    SetTimer {
+        /// From now.
+        after_ms: Millis,
+        /// Comes back with the event.
+        token: u64,
+    },
+    /// Check a backend.
+    Probe {
+        /// Which.
+        backend: BackendId,
+    },
+    /// Close idle connections to a backend.
+    CloseIdle {
+        /// Which.
+        backend: BackendId,
+    },
+    /// Send bytes to another copy, or to all.
+    Message {
+        /// Rank of the receiver; `None` for all.
+        to: Option<u32>,
+        /// At most 256 bytes.
+        bytes: Vec<u8>,
+    },
+    /// Start or stop following the backend list.
+    Subscribe {
+        /// Start or stop.
+        on: bool,
+    },
+    /// Ask for the whole backend list once.
+    Fetch,
+    /// Write a line to the operators' log.
+    Log(String),
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,908 @@
+//! Every decision of umberridge. The interface, its types, events and actions, is `src/api.rs`.
+//!
+//! A call passes a check of counting nodes before each send, as in Sentinel's FlowSlot: the tier's node, the
+//! node of its class and, for traffic over its tenant's share, the node for borrowed room. A call that would
+//! exceed a node's count is refused unsent. The counts are learned. The backend is then drawn at random,
+//! weighted by rating, warmth, feedback and load. Where it departs from this, the comment says when.
+
+use crate::api::*;
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use rustc_hash::FxHashMap;
+
+/// Calls in flight a fresh node below the top admits: far above any real count, so it refuses nothing until
+/// it has learned.
+const START_COUNT: f64 = 10_000.0;
+/// First count of the top tier's nodes: calls for each listed backend, shared by the copies, or for sparse
+/// copies fewer for each and some for chance. The first late answers come only after the servers are jammed.
+const START_EACH: f64 = 8.0;
+const START_SPARSE: f64 = 5.0;
+const START_LEAST: f64 = 4.0;
+/// Borrowed calls in flight a fresh copy admits: room beyond the shares must first be seen, or all fresh
+/// copies together flood a fleet that is just big enough for the shares, before the first answer tells them.
+const START_BORROW: f64 = 1.0;
+/// The least count: under one, as a call at each of many sparse copies is too much for a small tier.
+const LEAST_COUNT: f64 = 0.2;
+/// Part of its count a node keeps at a cut.
+const CUT: f64 = 0.75;
+/// The most that one sample weighs in a node's stress: sparse copies must not cut on one failure.
+const SAMPLE_MOST: f64 = 0.06;
+/// What a timely finish adds to a count at rest, at least: a part of each round, so that large counts rise
+/// as fast as small ones.
+const RISE: f64 = 0.1;
+/// First count, over the times by which a fresh count rises faster: many answers a round bring news in time.
+const FRESH: f64 = 10.0;
+/// Part of a backend's CPU that must be free for a full rise; with less the count rises less, with none not.
+/// Guards against a count that outgrows the tier while the first late answers are still out.
+const SPARE_CPU: f64 = 0.3;
+/// Part of the count in flight from which a timely finish raises it: an unused limit teaches nothing.
+const IN_USE: f64 = 0.7;
+/// Milliseconds over which a node forgets the most calls it had in flight.
+const USED_MS: Millis = 2_000.0;
+/// Milliseconds over which a node's stress forgets.
+const STRESS_MS: Millis = 500.0;
+/// Stress (time taken over time wanted, smoothed) above which a node is cut, at the top tier ...
+const TOP_STRESS: f64 = 0.6;
+/// ... for the tier and for classes to which others yield, were these all of it: they are cut first ...
+const SENIOR_STRESS: f64 = 1.0;
+/// ... and below it: later, because work is already sunk in a call that comes from a tier above.
+const DEEP_STRESS: f64 = 0.9;
+/// What a failed call counts as, in stress.
+const FAILED_STRESS: f64 = 1.5;
+/// How much of the way from calm to late the tier may go before borrowed room is taken back.
+const BORROW_STRESS: f64 = 0.15;
+/// Times the tier's usual stress above which its top gate is cut, where that is below the limit by the aim: a
+/// queue twice as long as usual serves no more, and servers that are held crowded slow down for good.
+const CROWDED: f64 = 1.5;
+/// Part of the first count below which crowding alone does not cut: chance must not shut a calm gate.
+const CROWDED_LEAST: f64 = 0.5;
+/// Samples over which the usual stress is averaged.
+const USUAL_SAMPLES: f64 = 120.0;
+/// Part a second by which the remembered calm rises, so that it follows a tier that has changed.
+const CALM_DRIFT: f64 = 0.02;
+/// Milliseconds of the window in which a tenant's calls are held against its share: long, as a sparse copy's
+/// few calls come in clusters and a tenant well within its share would look over it in a short one.
+const SHARE_MS: Millis = 10_000.0;
+/// Room over a tenant's part at this copy, as fronts do not spread it quite evenly.
+const SHARE_SLACK: f64 = 1.1;
+/// Milliseconds over which the classes' parts of the traffic are averaged.
+const ASKED_MS: Millis = 10_000.0;
+/// Milliseconds between two looks at which classes yield.
+const RANK_MS: Millis = 100.0;
+/// Repeats earned by each request, and the most that can be saved up.
+const RETRY_EARNED: f64 = 0.1;
+const RETRY_SAVED: f64 = 10.0;
+/// The least health of a backend: keeps trials going.
+const HEALTH_FLOOR: f64 = 0.02;
+/// Milliseconds in which an untried backend's health comes back, after one failure; doubles with each more.
+const HEAL_MS: Millis = 5_000.0;
+/// Mean deviations over the mean latency after which one attempt is given up for another: giving up early
+/// repeats work that mostly goes on.
+const PATIENCE: f64 = 12.0;
+/// A call out this many mean latencies, with no answer since from its backend, is an early sign of a hang.
+const OVERDUE: f64 = 3.0;
+/// The fewest healthy backends a copy draws from, where the tier has more ...
+const SUBSET_LEAST: f64 = 8.0;
+/// ... so that each backend hears from this many copies, and none stands or falls with one of them ...
+const SUBSET_COVER: f64 = 4.0;
+/// ... and with this many backends for each call that the copy had out at its recent peak.
+const SUBSET_ROOM: f64 = 1.0;
+/// How steeply the price of a crossing lowers the weight of backends in other zones.
+const CROSSING_DEAR: f64 = 20_000.0;
+/// Part of the fall budget of a cold backend that this copy uses at most: the rest is for chance.
+const COLD_PART: f64 = 0.5;
+/// Part of a window's calls to a cold backend that can be saved up for a burst.
+const COLD_SAVED: f64 = 0.25;
+/// Milliseconds over which the rate of served calls is averaged.
+const RATE_MS: Millis = 3_000.0;
+/// Milliseconds before the first new try after a failed call to discovery.
+const ASK_AGAIN_MS: Millis = 300.0;
+/// The only timer token in use: ask discovery again.
+const ASK: u64 = 1;
+
+/// A sum in which each addition fades with time.
+#[derive(Default)]
+struct Fading {
+    sum: f64,
+    at: Millis,
+}
+
+impl Fading {
+    fn read(&self, now: Millis, tau: Millis) -> f64 {
+        self.sum * (-(now - self.at).max(0.0) / tau).exp()
+    }
+
+    fn add(&mut self, now: Millis, tau: Millis) {
+        self.sum = self.read(now, tau) + 1.0;
+        self.at = now;
+    }
+}
+
+/// The stress above which a node is cut: as calls come late or fail, and as they take longer than usual.
+#[derive(Clone, Copy)]
+struct Limit {
+    late: f64,
+    crowded: f64,
+}
+
+/// A FlowSlot node with its learned count (thread grade).
+struct Node {
+    count: f64,
+    first: f64,
+    in_flight: f64,
+    used: f64,
+    stress: f64,
+    at: Millis,
+    cut_at: Millis,
+}
+
+impl Node {
+    fn new(count: f64) -> Node {
+        Node { count, first: count, in_flight: 0.0, used: 0.0, stress: 0.0, at: f64::MIN, cut_at: f64::MIN }
+    }
+
+    /// The check of FlowSlot; a part of a call in the count admits one more by that chance.
+    fn admits(&self, chance: f64) -> bool {
+        self.in_flight + 1.0 <= self.count + chance
+    }
+
+    /// Learns from one finished call, itself still counted as in flight; true if the count was cut.
+    fn learn(&mut self, now: Millis, call: Sample, limit: Limit) -> bool {
+        // What is in use is a recent peak: a copy with few calls has next to none out at most moments, and a
+        // cut from such a moment would shut its gate, or keep an open one from rising.
+        let passed = (now - self.at).max(0.0);
+        self.used = (self.used * (-passed / USED_MS).exp()).max(self.in_flight);
+        self.at = now;
+        // A call sent before the last cut tells of a load that is already answered: one cause, one cut.
+        if call.sent_at < self.cut_at {
+            return false;
+        }
+        self.stress += (passed / STRESS_MS).clamp(0.02, SAMPLE_MOST) * (call.stress - self.stress);
+        let most = limit.late.min(limit.crowded);
+        if self.stress > most {
+            let floor = if self.stress > limit.late { 0.0 } else { CROWDED_LEAST * self.first };
+            self.cut_at = now;
+            self.stress = most;
+            self.count = self.count.min((self.count.min(self.used) * CUT).max(floor).max(LEAST_COUNT));
+            return true;
+        }
+        if call.stress <= most && self.used >= (IN_USE * self.count).min(self.count - 1.0) {
+            // Until the first cut the count rises at least twice as fast: nothing is known against it yet.
+            let fresh = if self.cut_at == f64::MIN { (self.first / FRESH).clamp(2.0, 10.0) } else { 1.0 };
+            let step = fresh * RISE.max(1.0 / self.count.max(1.0));
+            self.count += step * call.spare * (1.0 - self.stress / most);
+        }
+        false
+    }
+}
+
+/// The tier's usual stress: the lowest that its smoothed stress has been, rising slowly.
+#[derive(Default)]
+struct Usual {
+    mean: f64,
+    samples: f64,
+    least: f64,
+    at: Millis,
+}
+
+impl Usual {
+    /// Takes a sample; gives the stress above which the tier holds more calls than it serves sooner for.
+    fn crowded(&mut self, now: Millis, sample: f64) -> f64 {
+        self.samples = (self.samples + 1.0).min(USUAL_SAMPLES);
+        self.mean += (sample - self.mean) / self.samples;
+        self.least *= 1.0 + CALM_DRIFT * (now - self.at).clamp(0.0, 1e4) / 1000.0;
+        self.at = now;
+        if self.samples < USUAL_SAMPLES / 4.0 {
+            return f64::MAX;
+        }
+        self.least = if self.least == 0.0 { self.mean } else { self.least.min(self.mean) };
+        self.least * CROWDED
+    }
+}
+
+/// How well a backend serves: falls on failures, comes back on successes and, untried, with time.
+#[derive(Clone, Copy, Default)]
+struct Health {
+    illness: f64,
+    strikes: i32,
+    judged_at: Millis,
+}
+
+impl Health {
+    fn read(&self, now: Millis) -> f64 {
+        let tau = HEAL_MS * 2f64.powi((self.strikes - 1).clamp(0, 3));
+        1.0 - self.illness * (-(now - self.judged_at) / tau).exp()
+    }
+
+    fn judge(&mut self, now: Millis, good: bool) {
+        let health = self.read(now);
+        self.strikes = if good { 0 } else { self.strikes + 1 };
+        self.illness = if good { 0.7 * (1.0 - health) } else { 1.0 - (0.3 * health).max(HEALTH_FLOOR) };
+        self.judged_at = now;
+    }
+}
+
+struct Backend {
+    info: BackendInfo,
+    in_flight: f64,
+    health: Health,
+    by_class: Vec<Health>,
+    slowness: f64,
+    samples: f64,
+    oldest_sent: Millis,
+    answered_at: Millis,
+    cold_tokens: f64,
+    cold_at: Millis,
+}
+
+impl Backend {
+    fn new(info: BackendInfo, tokens: f64, classes: usize, now: Millis) -> Backend {
+        Backend {
+            info,
+            in_flight: 0.0,
+            health: Health::default(),
+            by_class: vec![Health::default(); classes],
+            slowness: 1.0,
+            samples: 0.0,
+            oldest_sent: f64::MAX,
+            answered_at: f64::MIN,
+            cold_tokens: tokens,
+            cold_at: now,
+        }
+    }
+
+    fn rating(&self) -> f64 {
+        Some(self.info.rating).filter(|r| *r > 0.0 && r.is_finite()).unwrap_or(1.0)
+    }
+
+    /// The part of its capacity it has for certain by now.
+    fn warmth(&self, now: Millis, rules: &Rules) -> f64 {
+        match self.info.started_at {
+            Some(start) if now - start < rules.cold_ms => {
+                let part = ((now - start) / rules.cold_ms).max(0.0);
+                rules.cold_from + (1.0 - rules.cold_from) * part
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Guards against a backend that fails one class alone: the successes of the others must not heal that.
+    fn health_now(&self, now: Millis, class: usize) -> f64 {
+        self.health.read(now).min(self.by_class[class].read(now))
+    }
+}
+
+/// How an attempt ended, and what room its backend reports.
+#[derive(Clone, Copy)]
+struct End {
+    outcome: Outcome,
+    took: Millis,
+    spare: f64,
+}
+
+/// What one finished call teaches a node.
+#[derive(Clone, Copy)]
+struct Sample {
+    sent_at: Millis,
+    stress: f64,
+    spare: f64,
+}
+
+#[derive(Clone, Copy)]
+struct Attempt {
+    to: BackendInfo,
+    sent_at: Millis,
+}
+
+struct Held {
+    class: usize,
+    tenant: usize,
+    hint: f64,
+    borrowed: bool,
+    give_up_at: Millis,
+    attempts: u32,
+    out: Option<Attempt>,
+    tried: Vec<BackendId>,
+    may_have_run: Option<(BackendInfo, Millis)>,
+    over: bool,
+}
+
+/// Mean and mean deviation of a class's latencies, and its mean hint.
+#[derive(Default)]
+struct Latency {
+    mean: f64,
+    dev: f64,
+    hint: f64,
+}
+
+/// One balancer copy: all that it knows, and nothing shared.
+pub struct Balancer {
+    settings: Settings,
+    rng: Xoshiro256PlusPlus,
+    now: Millis,
+    backends: Vec<Backend>,
+    index: FxHashMap<BackendId, usize>,
+    held: FxHashMap<RequestId, Held>,
+    tier: Node,
+    borrow: Node,
+    classes: Vec<Node>,
+    latencies: Vec<Latency>,
+    shares: Vec<Fading>,
+    asked: Vec<Fading>,
+    passed: Vec<Fading>,
+    yielding: Vec<bool>,
+    yielding_part: f64,
+    ranked_at: Millis,
+    served: Fading,
+    calm: f64,
+    calm_at: Millis,
+    usual: Usual,
+    retries: f64,
+    asks_failed: i32,
+    logged_at: Millis,
+    order: Vec<usize>,
+    subset_room: f64,
+    weights: Vec<(usize, f64)>,
+}
+
+impl Balancer {
+    /// A balancer that knows its settings and nothing else. Equal seeds and events give equal actions.
+    pub fn new(settings: Settings, seed: u64) -> Balancer {
+        let classes = settings.classes.len();
+        let tenants = settings.tenants.len();
+        Balancer {
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            now: 0.0,
+            backends: Vec::new(),
+            index: FxHashMap::default(),
+            held: FxHashMap::default(),
+            tier: Node::new(START_COUNT),
+            borrow: Node::new(START_BORROW),
+            classes: (0..classes).map(|_| Node::new(START_COUNT)).collect(),
+            latencies: (0..classes).map(|_| Latency::default()).collect(),
+            shares: (0..tenants).map(|_| Fading::default()).collect(),
+            passed: (0..classes).map(|_| Fading::default()).collect(),
+            yielding: vec![false; classes],
+            yielding_part: 0.0,
+            ranked_at: f64::MIN,
+            asked: (0..classes).map(|_| Fading::default()).collect(),
+            served: Fading::default(),
+            calm: 0.0,
+            calm_at: 0.0,
+            usual: Usual::default(),
+            retries: RETRY_SAVED,
+            asks_failed: 0,
+            logged_at: f64::MIN,
+            order: Vec::new(),
+            subset_room: 0.0,
+            weights: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes one event at clock time `now` and appends what is to be done about it.
+    pub fn handle(&mut self, now: Millis, event: Event<'_>, actions: &mut Vec<Action>) {
+        // A clock that stands still or is not a number must not run state backwards.
+        self.now = if now > self.now { now } else { self.now };
+        match event {
+            Event::BackendsChanged { kind, backends, .. } => self.on_list(kind, backends, actions),
+            Event::Request { id, class, tenant, hint_ms, ttl_ms, .. } => {
+                self.on_request(id, class.into(), tenant.into(), hint_ms, ttl_ms, actions);
+            }
+            Event::Outcome { request, outcome, took_ms, ended, report, .. } => {
+                let end = End { outcome, took: took_ms, spare: self.spare(&report) };
+                self.on_outcome(request, end, ended, actions);
+            }
+            Event::ClientGone { request } => self.on_client_gone(request, actions),
+            Event::Timer { token: ASK } => actions.push(Action::Subscribe { on: true }),
+            _ => {}
+        }
+    }
+
+    // ---- discovery ----
+
+    fn on_list(&mut self, kind: ListKind, list: &[BackendInfo], actions: &mut Vec<Action>) {
+        match kind {
+            ListKind::Failed => return self.ask_again(actions),
+            ListKind::Cached if self.settings.must_subscribe => {
+                actions.push(Action::Subscribe { on: true });
+            }
+            ListKind::Cached => {}
+            ListKind::Delta | ListKind::Full => self.asks_failed = 0,
+        }
+        if kind != ListKind::Delta {
+            for backend in &mut self.backends {
+                backend.info.state = BackendState::Gone;
+            }
+        }
+        for info in list {
+            self.learn_backend(*info);
+        }
+        self.backends.retain(|b| b.info.state != BackendState::Gone || b.in_flight > 0.0);
+        self.index = self.backends.iter().enumerate().map(|(i, b)| (b.info.id, i)).collect();
+        self.order_backends();
+        // Only at the top: a call refused further down wastes the work already done for it.
+        if self.settings.stage == 0 && self.tier.count == START_COUNT && !self.backends.is_empty() {
+            let part = self.backends.len() as f64 / f64::from(self.settings.fleet_size);
+            let start = (START_EACH * part).max(START_SPARSE * part + START_LEAST);
+            self.tier = Node::new(start);
+            self.classes.iter_mut().for_each(|node| *node = Node::new(start));
+            // A window that began empty would let in a whole window of a tenant's traffic at once.
+            for (share, tenant) in self.shares.iter_mut().zip(&self.settings.tenants) {
+                let part = tenant.allowance_per_s / f64::from(self.settings.fleet_size);
+                *share = Fading { sum: part * SHARE_MS / 1000.0, at: self.now };
+            }
+        }
+    }
+
+    /// The order in which this copy takes backends into its subset: own zone first, each zone a ring of
+    /// hashed ids that copies enter at places set apart by their rank, so that all backends are covered
+    /// alike.
+    fn order_backends(&mut self) {
+        let entry = f64::from(self.settings.rank) / f64::from(self.settings.fleet_size) % 1.0;
+        let zone = self.settings.zone;
+        let scatter = |id: BackendId| u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(32);
+        let (mut own, mut other): (Vec<usize>, Vec<usize>) =
+            (0..self.backends.len()).partition(|&i| self.backends[i].info.zone == zone);
+        for ring in [&mut own, &mut other] {
+            ring.sort_by_key(|&i| scatter(self.backends[i].info.id));
+            let start = ((entry * ring.len() as f64) as usize).min(ring.len());
+            ring.rotate_left(start);
+        }
+        own.append(&mut other);
+        self.order = own;
+    }
+
+    fn learn_backend(&mut self, info: BackendInfo) {
+        // A random first token, so that many copies told at once do not all try a cold backend at once.
+        let (tokens, classes) = (self.random(), self.classes.len());
+        match self.index.get(&info.id) {
+            Some(&i) if self.backends[i].info.started_at == info.started_at => self.backends[i].info = info,
+            Some(&i) => {
+                let in_flight = self.backends[i].in_flight;
+                self.backends[i] = Backend { in_flight, ..Backend::new(info, tokens, classes, self.now) };
+            }
+            None => {
+                self.index.insert(info.id, self.backends.len());
+                self.backends.push(Backend::new(info, tokens, classes, self.now));
+            }
+        }
+    }
+
+    /// Backs off with jitter, yet asks well inside the time after which it would count as told.
+    fn ask_again(&mut self, actions: &mut Vec<Action>) {
+        let most = self.settings.rules.ask_within_ms / 4.0;
+        let wait = (ASK_AGAIN_MS * 2f64.powi(self.asks_failed.min(5))).min(most);
+        self.asks_failed += 1;
+        let after_ms = wait * (0.5 + self.random());
+        actions.push(Action::SetTimer { after_ms, token: ASK });
+        self.log(actions, || format!("discovery failing: asking again in {after_ms:.0} ms"));
+    }
+
+    // ---- requests ----
+
+    fn on_request(
+        &mut self,
+        id: RequestId,
+        class: usize,
+        tenant: usize,
+        hint: Option<Millis>,
+        ttl: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        self.retries = (self.retries + RETRY_EARNED).min(RETRY_SAVED);
+        let Some(rules) = self.settings.classes.get(class) else {
+            return actions.push(Action::Refuse { request: id, retry_after_ms: 0.0 });
+        };
+        self.asked[class].add(self.now, ASKED_MS);
+        // Below the top, without deadlines passed on, the full one is given though the caller has less left:
+        // an answer after the aim that earns nothing is one nobody awaits.
+        let guess = !self.settings.passes_deadline && self.settings.stage > 0 && rules.late_worth == 0.0;
+        let ttl = if guess { ttl.min(rules.aim_ms) } else { ttl };
+        let held = Held {
+            class,
+            tenant,
+            hint: hint.filter(|h| *h > 0.0 && h.is_finite()).unwrap_or(0.0),
+            borrowed: self.over_share(tenant),
+            give_up_at: self.now + ttl.max(0.0),
+            attempts: 0,
+            out: None,
+            tried: Vec::new(),
+            may_have_run: None,
+            over: false,
+        };
+        self.try_send(id, held, actions);
+    }
+
+    /// Whether a call goes beyond its tenant's part, by the calls that passed (QPS grade): one refused at
+    /// the gate uses up no share, or its client's next try would count as borrowed. The top tier decides:
+    /// below it the work of the tiers above is already sunk.
+    fn over_share(&self, tenant: usize) -> bool {
+        let (Some(tenant), Some(share)) = (self.settings.tenants.get(tenant), self.shares.get(tenant)) else {
+            return false;
+        };
+        if self.settings.stage > 0 {
+            return false;
+        }
+        let part = tenant.allowance_per_s / f64::from(self.settings.fleet_size) * SHARE_SLACK;
+        share.read(self.now, SHARE_MS) + 1.0 > (part * SHARE_MS / 1000.0).max(1.0)
+    }
+
+    /// The node check, then the pick. Without room or backend the request is refused, or failed where a
+    /// refusal could lie.
+    fn try_send(&mut self, id: RequestId, mut held: Held, actions: &mut Vec<Action>) {
+        let left = held.give_up_at - self.now;
+        let allowed = held.attempts < self.settings.allowed.max_attempts && left > self.settings.tick_ms;
+        let admitted = allowed && self.admits(&held);
+        let backend = if admitted { self.pick(&held) } else { None };
+        let Some(i) = backend else {
+            let why = match (allowed, admitted, held.borrowed) {
+                (false, _, _) => "no time or attempts left",
+                (_, true, _) => "no backend may be sent to",
+                (_, _, true) => "over the tenant's share and no room to borrow",
+                (_, _, false) => "over a learned count",
+            };
+            self.log(actions, || format!("not sent: {why}"));
+            return self.give_up(id, &held, actions);
+        };
+        let timeout_ms = self.attempt_timeout(&held, left);
+        let backend = &mut self.backends[i];
+        backend.in_flight += 1.0;
+        backend.oldest_sent = backend.oldest_sent.min(self.now);
+        backend.cold_tokens -= 1.0;
+        let to = backend.info.id;
+        held.attempts += 1;
+        held.out = Some(Attempt { to: backend.info, sent_at: self.now });
+        held.tried.push(to);
+        self.tier.in_flight += 1.0;
+        self.classes[held.class].in_flight += 1.0;
+        if held.attempts == 1 {
+            self.passed[held.class].add(self.now, ASKED_MS);
+        }
+        self.borrow.in_flight += f64::from(u8::from(held.borrowed));
+        if let Some(share) = self.shares.get_mut(held.tenant).filter(|_| !held.borrowed && held.attempts == 1)
+        {
+            share.add(self.now, SHARE_MS);
+        }
+        actions.push(Action::Send { request: id, backend: to, timeout_ms });
+        self.held.insert(id, held);
+    }
+
+    fn admits(&mut self, held: &Held) -> bool {
+        let u = self.random();
+        let borrows = !held.borrowed || self.borrow.admits(u);
+        self.tier.admits(u) && self.classes[held.class].admits(u) && borrows
+    }
+
+    /// The final answer for a request with no attempt out.
+    fn give_up(&mut self, id: RequestId, held: &Held, actions: &mut Vec<Action>) {
+        let rules = &self.settings.classes[held.class];
+        let harmless = match (rules.effect, held.may_have_run) {
+            (Effect::Repeatable, _) | (_, None) => true,
+            (Effect::Keyed, Some((_, sent))) => {
+                rules.scope == Scope::All && self.now - sent < rules.window_ms
+            }
+            (Effect::Once, Some(_)) => false,
+        };
+        actions.push(match harmless {
+            true => Action::Refuse { request: id, retry_after_ms: 0.0 },
+            false => Action::Fail { request: id },
+        });
+    }
+
+    /// How long to wait for one attempt: all the time left, or less where another try is of use.
+    fn attempt_timeout(&self, held: &Held, left: Millis) -> Millis {
+        let latency = &self.latencies[held.class];
+        let usual = latency.mean + PATIENCE * latency.dev;
+        let once = self.settings.classes[held.class].effect == Effect::Once;
+        if once || latency.mean == 0.0 || held.attempts > 0 || left < usual + 2.0 * latency.mean {
+            left
+        } else {
+            usual
+        }
+    }
+
+    fn on_client_gone(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.over = true;
+        if self.settings.allowed.cancel && held.out.is_some() {
+            actions.push(Action::Cancel { request: id, attempt: (held.attempts - 1) as u8 });
+        }
+    }
+
+    fn on_outcome(&mut self, id: RequestId, end: End, ended: bool, actions: &mut Vec<Action>) {
+        let Some(mut held) = self.held.remove(&id) else { return };
+        let Some(attempt) = held.out.take() else { return };
+        if !end.outcome.never_ran() && held.may_have_run.is_none() {
+            // As it was known at the send: a backend that has left the list since must not make this
+            // forgotten.
+            held.may_have_run = Some((attempt.to, attempt.sent_at));
+        }
+        self.learn(&held, attempt, end, actions);
+        self.tier.in_flight -= 1.0;
+        self.classes[held.class].in_flight -= 1.0;
+        self.borrow.in_flight -= f64::from(u8::from(held.borrowed));
+        if ended || held.over {
+            return;
+        }
+        if self.may_repeat(&held, end.outcome) {
+            self.retries -= 1.0;
+            self.try_send(id, held, actions);
+        } else {
+            self.give_up(id, &held, actions);
+        }
+    }
+
+    fn may_repeat(&self, held: &Held, outcome: Outcome) -> bool {
+        let rules = &self.settings.classes[held.class];
+        let permitted = match (rules.effect, held.may_have_run) {
+            (_, None) | (Effect::Repeatable, _) => true,
+            (Effect::Keyed, Some((_, sent))) => self.now - sent < rules.window_ms,
+            (Effect::Once, Some(_)) => false,
+        };
+        permitted && self.retries >= 1.0 && outcome != Outcome::Moot && outcome != Outcome::Cancelled
+    }
+
+    // ---- learning ----
+
+    /// The part of a full rise that the backend's report leaves room for; all of it where none tells.
+    fn spare(&self, report: &Report) -> f64 {
+        let place = self.settings.report.iter().position(|f| *f == ReportField::Cpu);
+        let cpu = place.filter(|i| *i < usize::from(report.len)).map(|i| f64::from(report.values[i]));
+        cpu.filter(|cpu| cpu.is_finite()).map_or(1.0, |cpu| ((1.0 - cpu) / SPARE_CPU).clamp(0.0, 1.0))
+    }
+
+    fn learn(&mut self, held: &Held, attempt: Attempt, end: End, out: &mut Vec<Action>) {
+        let End { outcome, took, spare } = end;
+        let aim = self.settings.classes[held.class].aim_ms;
+        let took = if took.is_finite() { took.max(0.0) } else { self.now - attempt.sent_at };
+        let ok = outcome == Outcome::Ok;
+        let expected = self.expected(held);
+        if ok {
+            self.served.add(self.now, RATE_MS);
+            self.learn_latency(held, took);
+        }
+        let mut sound = true;
+        if let Some(&i) = self.index.get(&attempt.to.id) {
+            let now = self.now;
+            let b = &mut self.backends[i];
+            b.in_flight = (b.in_flight - 1.0).max(0.0);
+            b.oldest_sent = if b.in_flight > 0.0 { b.oldest_sent.max(attempt.sent_at) } else { f64::MAX };
+            sound = b.health_now(now, held.class) > 0.5;
+            if outcome != Outcome::Cancelled && outcome != Outcome::Moot {
+                b.health.judge(now, ok);
+                b.by_class[held.class].judge(now, ok);
+                if outcome != Outcome::Timeout && outcome != Outcome::ConnectFailed {
+                    b.answered_at = now;
+                }
+            }
+            if ok && expected > 0.0 {
+                b.samples = (b.samples + 1.0).min(15.0);
+                b.slowness += ((took / expected).min(10.0) - b.slowness) / (5.0 + b.samples);
+            }
+        }
+        if outcome == Outcome::Cancelled || outcome == Outcome::Moot {
+            // A client that left: late for it. More would shut the gate where an idle tier is too slow.
+            if held.over && self.settings.stage == 0 {
+                self.learn_counts(Sample { sent_at: attempt.sent_at, stress: 1.0, spare: 0.0 }, out);
+            }
+            return;
+        }
+        // The failures of a backend already known as bad are its own and say nothing of the tier; nor does a
+        // connection that did not come about, as while a zone is cut off.
+        if ok || (sound && outcome != Outcome::ConnectFailed) {
+            let stress = if ok { took / aim } else { FAILED_STRESS.max(took / aim) };
+            self.learn_counts(Sample { sent_at: attempt.sent_at, stress, spare }, out);
+        }
+    }
+
+    fn learn_counts(&mut self, sample: Sample, actions: &mut Vec<Action>) {
+        let top = self.settings.stage == 0;
+        if top {
+            self.rank_classes();
+        }
+        let crowded = self.usual.crowded(self.now, sample.stress);
+        // The more of the traffic yields, and can be cut first, the longer the rest may go on.
+        let longer = (SENIOR_STRESS - TOP_STRESS) * self.yielding_part;
+        let (late, crowded, longer) =
+            if top { (TOP_STRESS, crowded, longer) } else { (DEEP_STRESS, f64::MAX, 0.0) };
+        let junior = Limit { late, crowded };
+        let most = Limit { late: late + longer, crowded: crowded + longer };
+        let hard = self.tier.learn(self.now, sample, most);
+        // All classes learn from every call: a class with a long aim would else never feel the load it makes.
+        for (node, yields) in self.classes.iter_mut().zip(&self.yielding) {
+            node.learn(self.now, sample, if *yields { junior } else { most });
+        }
+        let stress = self.tier.stress;
+        self.calm *= 1.0 + CALM_DRIFT * (self.now - self.calm_at).min(1e4) / 1000.0;
+        self.calm_at = self.now;
+        if self.calm == 0.0 || stress < self.calm {
+            self.calm = stress;
+        }
+        let borrow_most = self.calm + BORROW_STRESS * (1.0 - self.calm).max(0.0);
+        self.borrow.learn(self.now, sample, Limit { late: borrow_most, crowded: f64::MAX });
+        if hard {
+            let (count, usual) = (self.tier.count, self.usual.least);
+            let line =
+                || format!("tier gate cut to {count:.1} in flight, stress {stress:.2}, usual {usual:.2}");
+            self.log(actions, line);
+        }
+    }
+
+    /// Finds the classes that give way to another: to one worth more to the objective, where the worst-
+    /// served class counts double. So classes of like worth are kept alike, and one of far greater worth
+    /// comes first.
+    fn rank_classes(&mut self) {
+        if self.now - self.ranked_at < RANK_MS {
+            return;
+        }
+        self.ranked_at = self.now;
+        let now = self.now;
+        let asked: Vec<f64> = self.asked.iter().map(|f| f.read(now, ASKED_MS).max(1e-9)).collect();
+        let total: f64 = asked.iter().sum();
+        let worth = |c: usize| self.settings.classes[c].worth;
+        let mean: f64 = asked.iter().enumerate().map(|(c, n)| worth(c) * n / total).sum();
+        let got = |c: usize| self.passed[c].read(now, ASKED_MS) / asked[c];
+        let seen = (0..asked.len()).filter(|c| asked[*c] > 1.0);
+        let worst = seen.min_by(|a, b| got(*a).total_cmp(&got(*b)));
+        let mix = &self.settings.objective;
+        let value = |c: usize| {
+            let bonus = if worst == Some(c) { mix.worst_class * total / asked[c] } else { 0.0 };
+            (mix.whole + mix.worst_window) * worth(c) / mean.max(1e-9) + bonus
+        };
+        let best = (0..asked.len()).map(value).fold(0.0, f64::max);
+        self.yielding = (0..asked.len()).map(|c| value(c) < best).collect();
+        self.yielding_part = asked.iter().zip(&self.yielding).filter(|p| *p.1).map(|p| p.0 / total).sum();
+    }
+
+    fn learn_latency(&mut self, held: &Held, took: Millis) {
+        let latency = &mut self.latencies[held.class];
+        if latency.mean == 0.0 {
+            *latency = Latency { mean: took, dev: took / 2.0, hint: held.hint };
+        }
+        latency.dev += 0.05 * ((took - latency.mean).abs() - latency.dev);
+        latency.mean += 0.05 * (took - latency.mean);
+        latency.hint += 0.05 * (held.hint - latency.hint);
+    }
+
+    /// The latency to expect of a call, by its class and, where told, its work.
+    fn expected(&self, held: &Held) -> Millis {
+        let latency = &self.latencies[held.class];
+        if held.hint > 0.0 && latency.hint > 0.0 {
+            latency.mean * held.hint / latency.hint
+        } else {
+            latency.mean
+        }
+    }
+
+    // ---- the pick ----
+
+    /// Draws a backend at random by weight from this copy's subset; `None` if none may be sent to. Where the
+    /// tier is larger than the subset: many callers that each draw from all fill every backend's connection
+    /// table.
+    fn pick(&mut self, held: &Held) -> Option<usize> {
+        let now = self.now;
+        let copies = f64::from(self.settings.fleet_size);
+        let cover = SUBSET_COVER * self.backends.len() as f64 / copies;
+        let want = SUBSET_LEAST.max(cover).max(SUBSET_ROOM * self.tier.used);
+        let rate = self.served.read(now, RATE_MS) * 1000.0 / RATE_MS / self.subset_room.max(1e-9);
+        let mut weights = std::mem::take(&mut self.weights);
+        weights.clear();
+        let (mut room, mut calls, mut have, mut own_room, mut own_health) = (0.0, 0.0, 0.0, 0.0, 0.0);
+        for n in 0..self.order.len() {
+            let i = self.order[n];
+            if !self.may_send(held, &self.backends[i].info) || !self.refill_cold(i, rate) {
+                continue;
+            }
+            let b = &self.backends[i];
+            let (b_room, health) =
+                (b.rating() * b.warmth(now, &self.settings.rules), b.health_now(now, held.class));
+            room += b_room;
+            calls += b.in_flight;
+            if b.info.zone == self.settings.zone {
+                own_room += b_room;
+                own_health += b_room * health;
+            }
+            weights.push((i, b_room * health.max(HEALTH_FLOOR)));
+            have += health * b_room / b.rating();
+            if have >= want {
+                break;
+            }
+        }
+        if held.may_have_run.is_none() {
+            self.subset_room = room;
+        }
+        let mean_load = calls / room.max(1e-9);
+        let overdue = OVERDUE * self.latencies[held.class].mean;
+        // Other zones are for the overflow, and take over as the own one fails.
+        let away = 1.0 / (1.0 + CROSSING_DEAR * self.settings.prices.cross_zone);
+        // Under stress balance is worth more than the price.
+        let away =
+            away.powf((1.0 - self.tier.stress / TOP_STRESS).max(0.0) * own_health / own_room.max(1e-9));
+        for (i, weight) in &mut weights {
+            *weight *= self.weight(*i, held, mean_load, overdue, away);
+        }
+        let picked = draw(&weights, self.random());
+        self.weights = weights;
+        picked
+    }
+
+    /// Only ready backends; and once a keyed request may have run, only the group that drops its repeat.
+    fn may_send(&self, held: &Held, to: &BackendInfo) -> bool {
+        if to.state != BackendState::Ready {
+            return false;
+        }
+        let rules = &self.settings.classes[held.class];
+        match (rules.effect, held.may_have_run) {
+            (Effect::Keyed, Some((ran, _))) => match rules.scope {
+                Scope::All => true,
+                Scope::Zone => ran.zone == to.zone,
+                Scope::Cell => ran.cell == to.cell,
+            },
+            _ => true,
+        }
+    }
+
+    /// The hard budget of a cold backend: this copy's part of what makes it fall. A warm backend served
+    /// `rate` calls a second for each unit of room; what all copies serve is what it can do at the least.
+    fn refill_cold(&mut self, i: usize, rate: f64) -> bool {
+        let rules = &self.settings.rules;
+        let b = &mut self.backends[i];
+        let warmth = b.warmth(self.now, rules);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let least = 2.0 / f64::from(self.settings.fleet_size);
+        let per_s = COLD_PART * rules.fall_multiple * (warmth * b.rating() * rate).max(least);
+        let passed = (self.now - b.cold_at).clamp(0.0, rules.fall_ms);
+        b.cold_at = self.now;
+        // What is saved and what comes in together must stay within the part of any one window.
+        let most = (per_s * rules.fall_ms / 1000.0 * COLD_SAVED).max(1.0);
+        b.cold_tokens = (b.cold_tokens + per_s * passed / 1000.0).min(most);
+        b.cold_tokens >= 1.0
+    }
+
+    fn weight(&self, i: usize, held: &Held, mean_load: f64, overdue: Millis, away: f64) -> f64 {
+        let b = &self.backends[i];
+        let room = b.rating() * b.warmth(self.now, &self.settings.rules);
+        let load = 1.0 + b.in_flight / room / (mean_load + 0.5);
+        let mut weight = 1.0 / (b.slowness.max(0.1).powi(3) * load.powi(8));
+        // A hang shows first as silence: calls out for long and nothing answered since.
+        if overdue > 0.0 && self.now - b.oldest_sent > overdue && b.answered_at < b.oldest_sent {
+            weight *= 0.1;
+        }
+        if b.info.zone != self.settings.zone {
+            weight *= away;
+        }
+        if held.tried.contains(&b.info.id) {
+            weight *= 0.01;
+        }
+        weight
+    }
+
+    fn random(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Writes a line at most once in five seconds.
+    fn log(&mut self, actions: &mut Vec<Action>, line: impl FnOnce() -> String) {
+        if self.now - self.logged_at >= 5_000.0 {
+            self.logged_at = self.now;
+            actions.push(Action::Log(line()));
+        }
+    }
+}
+
+/// The backend in `weights` that a random number from 0 to 1 falls on.
+fn draw(weights: &[(usize, f64)], random: f64) -> Option<usize> {
+    let mut left = random * weights.iter().map(|(_, w)| w).sum::<f64>();
+    let mut last = None;
+    for (i, weight) in weights.iter().filter(|(_, w)| *w > 0.0) {
+        last = Some(*i);
+        left -= weight;
+        if left < 0.0 {
+            break;
+        }
+    }
+    last
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,218 @@
+//! A small proxy for tests: feeds events to a balancer, keeps what it sent and answered.
+#![allow(dead_code)] // each test file uses a part
+
+use umberridge::api::*;
+use umberridge::Balancer;
+
+/// A class of requests with an aim of 1 s and a deadline of 4 s.
+pub fn class(effect: Effect, scope: Scope) -> Class {
+    Class {
+        name: String::new(),
+        aim_ms: 1_000.0,
+        aim_stretch: 0.0,
+        deadline_ms: 4_000.0,
+        worth: 1.0,
+        late_worth: 0.2,
+        effect,
+        scope,
+        window_ms: 2_000.0,
+        streaming: false,
+    }
+}
+
+/// An objective without a part for tenants or nines.
+pub fn objective(whole: f64, worst_window: f64, worst_class: f64) -> Objective {
+    Objective { whole, worst_window, worst_class, worst_tenant: 0.0, nines: 0.0, full_at_nines: 3.0 }
+}
+
+/// A tenant with a share of so many requests a second.
+pub fn tenant(allowance_per_s: f64) -> Tenant {
+    Tenant { name: String::new(), allowance_per_s, fraction: 0.5 }
+}
+
+/// One copy, one repeatable class, no tenants.
+pub fn settings() -> Settings {
+    Settings {
+        rank: 0,
+        fleet_size: 1,
+        zone: 0,
+        stage: 0,
+        stages: ["front", "middle", "back"].map(String::from).to_vec(),
+        zones: Vec::new(),
+        machine_kinds: Vec::new(),
+        service: "chain".into(),
+        passes_deadline: true,
+        warm_keys: false,
+        marks_retry: false,
+        must_subscribe: false,
+        worth_by_work: false,
+        over_share_worth: 0.05,
+        tick_ms: 5.0,
+        weights: Weights::Off,
+        report: Vec::new(),
+        report_via: ReportVia::Off,
+        classes: vec![class(Effect::Repeatable, Scope::All)],
+        tenants: Vec::new(),
+        rules: Rules {
+            answer_grace_ms: 20.0,
+            drain_grace_ms: 250.0,
+            ask_within_ms: 10_000.0,
+            cold_from: 0.3,
+            cold_ms: 8_000.0,
+            fall_multiple: 3.0,
+            fall_ms: 3_000.0,
+        },
+        allowed: Allowed {
+            cancel: true,
+            probe: false,
+            parallel: false,
+            retry_after: true,
+            max_retry_after_ms: 2_000.0,
+            max_attempts: 5,
+            max_open: 1_000,
+            peers: false,
+            idle_close_ms: 30_000.0,
+            connect_timeout_ms: 250.0,
+            streams_per_connection: 1,
+            cpu_us_per_s: 500_000.0,
+            cpu_us_per_request: 0.0,
+        },
+        prices: Prices::default(),
+        objective: objective(0.7, 0.2, 0.1),
+    }
+}
+
+/// A warm, ready backend of zone 0 in cell `id / 4`.
+pub fn backend(id: BackendId) -> BackendInfo {
+    BackendInfo {
+        id,
+        zone: 0,
+        kind: 0,
+        cell: (id / 4) as u16,
+        state: BackendState::Ready,
+        rating: 1.0,
+        started_at: None,
+    }
+}
+
+/// Ready backends with ids from 1.
+pub fn backends(n: u32) -> Vec<BackendInfo> {
+    (1..=n).map(backend).collect()
+}
+
+/// An attempt that was sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sent {
+    pub request: RequestId,
+    pub attempt: u8,
+    pub to: BackendId,
+    pub at: Millis,
+    pub timeout_ms: Millis,
+}
+
+/// A request without a key or a hint.
+pub fn request(id: RequestId, class: u8, tenant: u16, ttl_ms: Millis) -> Event<'static> {
+    Event::Request { id, key: None, class, tenant, hint_ms: None, repeat: false, write: false, ttl_ms }
+}
+
+/// The end of an attempt, without a load report.
+pub fn ended_as(
+    request: RequestId,
+    attempt: u8,
+    backend: BackendId,
+    outcome: Outcome,
+    took_ms: Millis,
+    ended: bool,
+) -> Event<'static> {
+    Event::Outcome { request, attempt, backend, outcome, took_ms, ended, report: Report::default() }
+}
+
+/// Feeds one balancer and carries the numbers of its attempts.
+pub struct Proxy {
+    pub balancer: Balancer,
+    pub now: Millis,
+    pub last: Vec<Action>,
+    attempts: std::collections::BTreeMap<RequestId, u8>,
+    next: RequestId,
+}
+
+impl Proxy {
+    pub fn new(settings: Settings, list: &[BackendInfo]) -> Proxy {
+        let mut proxy = Proxy {
+            balancer: Balancer::new(settings, 7),
+            now: 1_000.0,
+            last: Vec::new(),
+            attempts: Default::default(),
+            next: 1,
+        };
+        proxy.list(ListKind::Cached, list);
+        proxy
+    }
+
+    pub fn event(&mut self, event: Event<'_>) -> &[Action] {
+        self.last.clear();
+        self.balancer.handle(self.now, event, &mut self.last);
+        &self.last
+    }
+
+    pub fn list(&mut self, kind: ListKind, backends: &[BackendInfo]) {
+        self.event(Event::BackendsChanged { kind, version: 1, backends });
+    }
+
+    /// The attempt sent by the last event, if any.
+    pub fn sent(&mut self) -> Option<Sent> {
+        let now = self.now;
+        let (request, to, timeout_ms) = self.last.iter().find_map(|a| match a {
+            Action::Send { request, backend, timeout_ms } => Some((*request, *backend, *timeout_ms)),
+            _ => None,
+        })?;
+        let count = self.attempts.entry(request).or_default();
+        *count += 1;
+        Some(Sent { request, attempt: *count - 1, to, at: now, timeout_ms })
+    }
+
+    /// A new request; the attempt if it was sent.
+    pub fn ask(&mut self, class: u8, tenant: u16, ttl_ms: Millis) -> Option<Sent> {
+        let id = self.next;
+        self.next += 1;
+        self.event(request(id, class, tenant, ttl_ms));
+        self.sent()
+    }
+
+    /// Ends an attempt now; the next attempt if one follows.
+    pub fn end(&mut self, sent: Sent, outcome: Outcome) -> Option<Sent> {
+        let took_ms = self.now - sent.at;
+        let ended = outcome == Outcome::Ok;
+        self.event(ended_as(sent.request, sent.attempt, sent.to, outcome, took_ms, ended));
+        self.sent()
+    }
+
+    pub fn refused(&self) -> bool {
+        self.last.iter().any(|a| matches!(a, Action::Refuse { .. }))
+    }
+
+    pub fn failed(&self) -> bool {
+        self.last.iter().any(|a| matches!(a, Action::Fail { .. }))
+    }
+
+    /// `rounds` rounds of `width` calls at once, each answered as told after `took` milliseconds.
+    pub fn rounds(&mut self, rounds: usize, width: usize, took: Millis, outcome: Outcome) {
+        for _ in 0..rounds {
+            let mut out: Vec<Sent> = (0..width).filter_map(|_| self.ask(0, 0, 4_000.0)).collect();
+            self.now += took;
+            while let Some(sent) = out.pop() {
+                out.extend(self.end(sent, outcome).filter(|_| outcome != Outcome::Ok));
+            }
+        }
+    }
+
+    /// How many calls it sends of `n` asked for at once; they are answered in time afterwards.
+    pub fn admitted(&mut self, n: usize) -> usize {
+        let out: Vec<Sent> = (0..n).filter_map(|_| self.ask(0, 0, 4_000.0)).collect();
+        self.now += 100.0;
+        out.iter().for_each(|sent| {
+            self.end(*sent, Outcome::Ok);
+        });
+        out.len()
+    }
+}
--- /dev/null
+++ b/tests/module.rs
@@ -0,0 +1,46 @@
+//! Keeps the decision module readable and general.
+
+use std::fs;
+
+fn module() -> String {
+    fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/src/choice.rs")).expect("src/choice.rs")
+}
+
+#[test]
+fn the_decision_module_keeps_its_size_and_width() {
+    let text = module();
+    let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
+    assert!(lines <= 850, "{lines} lines that are not blank");
+    for (n, line) in text.lines().enumerate() {
+        assert!(line.chars().count() <= 110, "line {} is too long", n + 1);
+    }
+    assert!(
+        text.lines().take(3).any(|line| line.contains("src/api.rs")),
+        "its interface is named at its top"
+    );
+}
+
+#[test]
+fn every_constant_says_what_it_guards() {
+    let text = module();
+    let lines: Vec<&str> = text.lines().collect();
+    for (n, line) in lines.iter().enumerate().filter(|(_, line)| line.starts_with("const ")) {
+        let before = lines[n - 1];
+        assert!(before.starts_with("///") || before.starts_with("const "), "{line}");
+    }
+}
+
+#[test]
+fn the_on_call_page_quotes_lines_that_the_module_writes() {
+    let page = fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/docs/ONCALL.md")).expect("the page");
+    let text = module();
+    let quoted: Vec<&str> = page.lines().filter_map(|l| l.strip_prefix("- `")?.split('`').next()).collect();
+    assert!(quoted.len() >= 6);
+    for line in quoted {
+        // Figures are filled in; the words around them stand in the module.
+        let line = line.strip_prefix("not sent: ").unwrap_or(line);
+        for words in line.split(|c: char| c.is_ascii_digit() || c == '.').map(str::trim) {
+            assert!(text.contains(words), "the module writes no {words:?}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/pick.rs
@@ -0,0 +1,103 @@
+//! The pick: which backends a copy draws from, and how it weighs them.
+
+mod common;
+use common::*;
+use std::collections::{BTreeMap, BTreeSet};
+use umberridge::api::*;
+
+/// How often each backend is sent to, over `n` calls one after another.
+fn tally(p: &mut Proxy, n: usize) -> BTreeMap<BackendId, usize> {
+    let mut counts = BTreeMap::new();
+    for _ in 0..n {
+        let sent = p.ask(0, 0, 4_000.0).expect("sent");
+        *counts.entry(sent.to).or_default() += 1;
+        p.now += 20.0;
+        p.end(sent, Outcome::Ok);
+    }
+    counts
+}
+
+#[test]
+fn a_copy_draws_from_a_subset_and_all_copies_together_cover_the_tier() {
+    // Many callers that each draw from all fill every backend's connection table.
+    let mut covered = BTreeSet::new();
+    for rank in 0..50 {
+        let mut p = Proxy::new(Settings { stage: 1, rank, fleet_size: 50, ..settings() }, &backends(60));
+        let used = tally(&mut p, 200);
+        assert!(used.len() <= 12, "copy {rank} uses {} of 60", used.len());
+        covered.extend(used.into_keys());
+    }
+    assert_eq!(covered.len(), 60);
+}
+
+#[test]
+fn a_priced_crossing_is_for_the_overflow_and_for_a_failing_own_zone() {
+    let list: Vec<_> = (1..=6).map(|id| BackendInfo { zone: (id % 2) as u16, ..backend(id) }).collect();
+    let mut priced = settings();
+    priced.prices.cross_zone = 0.01;
+    let mut p = Proxy::new(priced, &list);
+    let crossed = |counts: &BTreeMap<BackendId, usize>| -> usize {
+        counts.iter().filter(|(id, _)| *id % 2 == 1).map(|(_, n)| n).sum()
+    };
+    assert!(crossed(&tally(&mut p, 300)) < 30, "calm: the own zone takes the calls");
+    for _ in 0..60 {
+        let mut next = p.ask(0, 0, 4_000.0);
+        while let Some(sent) = next {
+            p.now += 5.0;
+            let fails = sent.to % 2 == 0;
+            next = p.end(sent, if fails { Outcome::ConnectFailed } else { Outcome::Ok });
+        }
+    }
+    let counts = {
+        let mut counts = BTreeMap::new();
+        for _ in 0..60 {
+            let sent = p.ask(0, 0, 4_000.0).expect("sent");
+            *counts.entry(sent.to).or_default() += 1usize;
+            p.end(sent, if sent.to % 2 == 0 { Outcome::ConnectFailed } else { Outcome::Ok });
+        }
+        counts
+    };
+    assert!(crossed(&counts) > 40, "own zone down: {} of 60 first tries crossed", crossed(&counts));
+}
+
+#[test]
+fn a_loaded_backend_gets_next_to_nothing_while_another_is_idle() {
+    let mut p = Proxy::new(settings(), &backends(4));
+    let mut out = BTreeMap::<BackendId, usize>::new();
+    for _ in 0..16 {
+        *out.entry(p.ask(0, 0, 4_000.0).expect("sent").to).or_default() += 1;
+    }
+    let most = out.values().max().expect("some");
+    assert!(*most <= 6, "spread of 16 calls over 4 idle backends: {out:?}");
+}
+
+#[test]
+fn a_slow_backend_gets_far_less_than_its_part() {
+    let mut p = Proxy::new(settings(), &backends(4));
+    let mut late = 0;
+    for n in 0..400 {
+        let sent = p.ask(0, 0, 4_000.0).expect("sent");
+        p.now += if sent.to == 2 { 120.0 } else { 40.0 };
+        late += usize::from(n >= 100 && sent.to == 2);
+        p.end(sent, Outcome::Ok);
+    }
+    assert!((1..20).contains(&late), "{late} of 300 calls to a backend three times as slow as the others");
+}
+
+#[test]
+fn a_backend_that_fails_one_class_is_not_healed_by_the_others() {
+    let classes = vec![class(Effect::Once, Scope::All); 2];
+    let mut p = Proxy::new(Settings { classes, ..settings() }, &backends(4));
+    let mut sent_to_failing = [0, 0];
+    for n in 0..400 {
+        let class = (n % 2) as u8;
+        let sent = p.ask(class, 0, 4_000.0).expect("sent");
+        p.now += 20.0;
+        let fails = sent.to == 2 && class == 0;
+        sent_to_failing[usize::from(class)] += usize::from(sent.to == 2);
+        p.end(sent, if fails { Outcome::Error } else { Outcome::Ok });
+    }
+    let [failing, served] = sent_to_failing;
+    assert!(failing < 20, "{failing} of 200 calls of the class that it fails");
+    assert!(served > 2 * failing, "{served} calls of the class that it serves, {failing} of the other");
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,244 @@
+//! The settings: every key is read, absent ones get their meaning, unusable ones are named.
+
+use serde_json::{json, Value};
+use umberridge::api::*;
+use umberridge::wire;
+
+/// Settings in which every key has a value that is not its default.
+fn full() -> Value {
+    json!({
+        "Allowed": {"Cancelling": true, "ConnectTimeout": 251.0, "CpuUsPerRequest": 12.5, "CpuUsPerS": 4977748,
+            "IdleClose": 30000.0, "MaxAttempts": 6, "MaxRetryAfter": 2000.0, "OpenCap": 124443,
+            "ParallelTries": true, "Peers": true, "Probing": true, "RetryAfter": true, "StreamsPerConn": 7},
+        "Az": 1,
+        "Classes": [
+            {"Aim": 1500.0, "AimStretch": 2.5, "Effect": "repeatable", "HardLimit": 4000.0, "KeyScope": "all",
+                "LateWorth": 0.2, "Name": "look", "Points": 2.0, "Streaming": true, "Window": 5000.0},
+            {"Aim": 2500.0, "Effect": "by_key", "HardLimit": 6000.0, "KeyScope": "cell", "Name": "book",
+                "Window": 10000.0},
+            {"Aim": 1.0, "Effect": "once", "HardLimit": 2.0, "KeyScope": "zone"}],
+        "Clients": {"MarksRetry": true},
+        "FamilyInfo": {"PassesDeadline": true, "WarmKeys": true},
+        "FleetSize": 10,
+        "KindOfService": "chain",
+        "MachineTypes": ["fast", "slow"],
+        "MembershipMode": "subscribe",
+        "ObjectiveMix": {"FullAtNines": 4.0, "Nines": 0.2, "Whole": 0.5, "WorstClass": 0.11, "WorstTenant": 0.12,
+            "WorstWindow": 0.13},
+        "OverShareWorth": 0.05,
+        "Prices": {"Connection": 0.01, "CrossZone": 0.02, "Fleet": 0.03, "Handshake": 0.04, "LateFail": 0.05,
+            "MembershipMode": 0.06, "Moves": 0.07, "Origin": 0.08, "Peer": 0.09, "Probe": 0.1, "Waste": 0.11},
+        "Rank": 3,
+        "Report": {"Fields": ["active", "waiting", "cpu", "heat"], "Via": "on_probe"},
+        "Rules": {"AskWithin": 10000.0, "Cold": 18000.0, "ColdFrom": 0.16, "DrainGrace": 500.0, "Fall": 3000.0,
+            "FallMultiple": 2.5, "GraceToAnswer": 20.0},
+        "Stage": 1,
+        "Stages": ["front", "back"],
+        "Tenants": [{"AllowancePerS": 55.0, "Fraction": 0.25, "Name": "tiles"}],
+        "Tick": 5.0,
+        "Weights": "live",
+        "WorthBy": "work",
+        "Zones": ["north", "south"],
+        "Unheard": {"Of": [1, 2]},
+    })
+}
+
+/// The least that will do.
+fn least() -> Value {
+    json!({
+        "Allowed": {"MaxAttempts": 5},
+        "Classes": [{"Aim": 1000, "HardLimit": 4000, "Effect": "repeatable"}],
+        "MembershipMode": "automatic",
+        "Rules": {"DrainGrace": 250, "ColdFrom": 0.3, "Cold": 8000, "FallMultiple": 3, "Fall": 3000},
+    })
+}
+
+fn read(json: &Value) -> Result<Settings, String> {
+    wire::settings(json.to_string().as_bytes())
+}
+
+#[test]
+fn every_key_is_read() {
+    let class = |name: &str, effect, scope| Class {
+        name: name.into(),
+        aim_ms: 2_500.0,
+        aim_stretch: 0.0,
+        deadline_ms: 6_000.0,
+        worth: 1.0,
+        late_worth: 0.0,
+        effect,
+        scope,
+        window_ms: 10_000.0,
+        streaming: false,
+    };
+    let look = Class {
+        aim_ms: 1_500.0,
+        aim_stretch: 2.5,
+        deadline_ms: 4_000.0,
+        worth: 2.0,
+        late_worth: 0.2,
+        window_ms: 5_000.0,
+        streaming: true,
+        ..class("look", Effect::Repeatable, Scope::All)
+    };
+    let once =
+        Class { aim_ms: 1.0, deadline_ms: 2.0, window_ms: 0.0, ..class("", Effect::Once, Scope::Zone) };
+    let expected = Settings {
+        rank: 3,
+        fleet_size: 10,
+        zone: 1,
+        zones: vec!["north".into(), "south".into()],
+        stage: 1,
+        stages: vec!["front".into(), "back".into()],
+        machine_kinds: vec!["fast".into(), "slow".into()],
+        service: "chain".into(),
+        passes_deadline: true,
+        warm_keys: true,
+        marks_retry: true,
+        must_subscribe: true,
+        worth_by_work: true,
+        over_share_worth: 0.05,
+        tick_ms: 5.0,
+        weights: Weights::Live,
+        report: vec![ReportField::Active, ReportField::Waiting, ReportField::Cpu, ReportField::Unknown],
+        report_via: ReportVia::Probe,
+        classes: vec![look, class("book", Effect::Keyed, Scope::Cell), once],
+        tenants: vec![Tenant { name: "tiles".into(), allowance_per_s: 55.0, fraction: 0.25 }],
+        rules: Rules {
+            answer_grace_ms: 20.0,
+            drain_grace_ms: 500.0,
+            ask_within_ms: 10_000.0,
+            cold_from: 0.16,
+            cold_ms: 18_000.0,
+            fall_multiple: 2.5,
+            fall_ms: 3_000.0,
+        },
+        allowed: Allowed {
+            cancel: true,
+            probe: true,
+            parallel: true,
+            peers: true,
+            retry_after: true,
+            max_retry_after_ms: 2_000.0,
+            max_attempts: 6,
+            max_open: 124_443,
+            idle_close_ms: 30_000.0,
+            connect_timeout_ms: 251.0,
+            streams_per_connection: 7,
+            cpu_us_per_s: 4_977_748.0,
+            cpu_us_per_request: 12.5,
+        },
+        prices: Prices {
+            connection: 0.01,
+            cross_zone: 0.02,
+            fleet: 0.03,
+            handshake: 0.04,
+            late_fail: 0.05,
+            list_lines: 0.06,
+            moves: 0.07,
+            origin: 0.08,
+            peer: 0.09,
+            probe: 0.1,
+            waste: 0.11,
+        },
+        objective: Objective {
+            whole: 0.5,
+            worst_window: 0.13,
+            worst_class: 0.11,
+            worst_tenant: 0.12,
+            nines: 0.2,
+            full_at_nines: 4.0,
+        },
+    };
+    assert_eq!(read(&full()), Ok(expected));
+}
+
+#[test]
+fn absent_keys_mean_no_feature_no_price_and_no_limit() {
+    let s = read(&least()).expect("good settings");
+    assert_eq!((s.rank, s.fleet_size, s.zone, s.stage), (0, 1, 0, 0));
+    assert!(!s.passes_deadline && !s.warm_keys && !s.marks_retry && !s.worth_by_work && !s.must_subscribe);
+    assert!(!s.allowed.cancel && !s.allowed.probe && !s.allowed.parallel && !s.allowed.peers);
+    assert_eq!((s.allowed.cpu_us_per_request, s.allowed.idle_close_ms), (0.0, f64::MAX));
+    assert_eq!((s.prices, s.report_via, s.weights), (Prices::default(), ReportVia::Off, Weights::Off));
+    assert_eq!((s.classes[0].worth, s.classes[0].late_worth, s.classes[0].aim_stretch), (1.0, 0.0, 0.0));
+    assert_eq!((s.objective.whole, s.objective.nines, s.over_share_worth), (1.0, 0.0, 1.0));
+    assert_eq!(s.rules.ask_within_ms, f64::MAX);
+}
+
+/// The place of `key`, written as in an error: `Classes[0].Aim`.
+fn place<'a>(json: &'a mut Value, key: &str) -> &'a mut Value {
+    let pointer = format!("/{}", key.replace(['.', '['], "/").replace(']', ""));
+    json.pointer_mut(&pointer).unwrap_or_else(|| panic!("no {pointer}"))
+}
+
+/// Every key that holds one value, with the value.
+fn leaves(json: &Value, path: &str, out: &mut Vec<(String, Value)>) {
+    match json {
+        Value::Object(map) => {
+            for (key, value) in map.iter().filter(|(key, _)| *key != "Unheard") {
+                let dot = if path.is_empty() { "" } else { "." };
+                leaves(value, &format!("{path}{dot}{key}"), out);
+            }
+        }
+        Value::Array(list) => {
+            for (i, value) in list.iter().enumerate() {
+                leaves(value, &format!("{path}[{i}]"), out);
+            }
+        }
+        value => out.push((path.to_string(), value.clone())),
+    }
+}
+
+#[test]
+fn a_value_that_cannot_be_used_is_named_by_its_key() {
+    let mut all = Vec::new();
+    leaves(&full(), "", &mut all);
+    assert!(all.len() > 70);
+    for (key, value) in all {
+        // Of the wrong type: all keys. Below zero: all numbers, none of which may be.
+        let mut bad = vec![json!({"no": "use"}), Value::Null];
+        if value.is_number() {
+            bad.extend([json!(-1), json!("1")]);
+        }
+        for bad in bad {
+            let mut json = full();
+            *place(&mut json, &key) = bad.clone();
+            let error = read(&json).expect_err(&format!("{key} = {bad}"));
+            assert!(error.contains(&format!(" {key}: ")), "{key} = {bad}: {error}");
+        }
+    }
+}
+
+#[test]
+fn a_value_out_of_range_is_named_by_its_key() {
+    let cases = [
+        ("Allowed.MaxAttempts", json!(0)),
+        ("Allowed.StreamsPerConn", json!(0)),
+        ("Az", json!(2)),
+        ("Classes", json!([])),
+        ("Classes[0].Aim", json!(0)),
+        ("Classes[0].LateWorth", json!(1.1)),
+        ("Classes[1].Effect", json!("maybe")),
+        ("Classes[1].KeyScope", json!("town")),
+        ("FleetSize", json!(0)),
+        ("ObjectiveMix.FullAtNines", json!(0)),
+        ("Report.Fields", json!(["cpu", "cpu", "cpu", "cpu", "cpu"])),
+        ("Rules.ColdFrom", json!(0)),
+        ("Rules.ColdFrom", json!(1.01)),
+        ("Rules.FallMultiple", json!(0)),
+        ("Stage", json!(2)),
+        ("Tenants[0].Fraction", json!(1.5)),
+        ("Tick", json!(0)),
+    ];
+    for (key, bad) in cases {
+        let mut json = full();
+        *place(&mut json, key) = bad.clone();
+        let error = read(&json).expect_err(&format!("{key} = {bad}"));
+        assert!(error.contains(&format!(" {key}: ")), "{key} = {bad}: {error}");
+    }
+    let endless = full().to_string().replace("10000.0", "1e999");
+    assert!(wire::settings(endless.as_bytes()).is_err(), "a number without end");
+    assert!(wire::settings(b"{}").is_err_and(|e| e.contains("MembershipMode") || e.contains("missing field")));
+    assert!(wire::settings(format!("{} x", full()).as_bytes()).is_err(), "text after the settings");
+}
