--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,59 @@
+//! `dewrun`, the real proxy: the decision module on sockets. `src/net/driver.rs` ties the parts together.
+
+#![forbid(unsafe_code)]
+
+mod net {
+    pub mod config;
+    pub mod discovery;
+    pub mod driver;
+    pub mod io;
+    pub mod server;
+    pub mod upstream;
+}
+
+use net::config::{self, Config};
+use net::driver::Driver;
+use net::server::Server;
+use net::upstream::Upstream;
+use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+
+/// Descriptors kept for the listener, discovery, the runtime and the standard streams.
+const RESERVED_SOCKETS: usize = 32;
+
+async fn run(config: Config) -> Result<(), String> {
+    let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let settings = config.settings.clone();
+    let allowed = &settings.allowed;
+    // Each open request holds a caller's connection and an upstream one.
+    let side = config.sockets.saturating_sub(RESERVED_SOCKETS).max(2) / 2;
+    let (connect_ms, idle_ms) = (allowed.connect_timeout_ms, allowed.idle_close_ms);
+    let upstream = Rc::new(Upstream::new(side, connect_ms, idle_ms, settings.report.clone()));
+    let knows_some = !config.known.endpoints.is_empty();
+    let driver = Driver::start(config, upstream.clone(), side);
+    let server = Server::new(driver, upstream, &settings, knows_some, side);
+    spawn_local(server.clone().accept(listener));
+    spawn_local(server.clone().tidy());
+    term.recv().await;
+    server.stop().await;
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let ran = config::load(|name| std::env::var(name).ok()).and_then(|config| {
+        let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+        LocalSet::new().block_on(&runtime, run(config))
+    });
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("dewrun: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,69 @@
+//! What the platform tells a proxy: `NODE_CONFIG` and the environment.
+
+use super::discovery::List;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use umberridge::api::Settings;
+use umberridge::wire;
+
+/// Descriptors a process may hold where the configuration does not say.
+const USUAL_SOCKETS: usize = 1_024;
+
+/// All that a proxy knows at its start.
+pub struct Config {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For the module's random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// The backends as this proxy had them last.
+    pub known: List,
+    /// The module's settings.
+    pub settings: Settings,
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(default)]
+    known: List,
+    settings: Value,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RawLimits {
+    sockets: Option<usize>,
+}
+
+/// Reads the file that `NODE_CONFIG` names. An address in the environment goes before the file's.
+pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let path = env("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
+    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    parse(&text, env).map_err(|e| format!("{path}: {e}"))
+}
+
+fn parse(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let raw: Raw = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let address = |variable: &str, key: &str, own: Option<String>| {
+        let text = env(variable).or(own).ok_or(format!("{key}: it is missing"))?;
+        text.parse::<SocketAddr>().map_err(|_| format!("{key}: {text:?} is not an address"))
+    };
+    let seed = u64::from_str_radix(&raw.seed, 16);
+    Ok(Config {
+        listen: address("NODE_LISTEN", "listen", raw.listen)?,
+        discovery: address("NODE_DISCOVERY", "discovery", raw.discovery)?,
+        seed: seed.map_err(|_| format!("seed: {:?} is not a number in hexadecimal", raw.seed))?,
+        sockets: raw.limits.sockets.unwrap_or(USUAL_SOCKETS),
+        known: raw.known,
+        settings: wire::settings(raw.settings.to_string().as_bytes())?,
+    })
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,275 @@
+//! The backend list: its form on the wire, the ids and addresses behind it, and the calls to discovery.
+
+use super::io::{Io, Wire};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::{header::HOST, Request, StatusCode};
+use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use umberridge::api::{BackendId, BackendInfo, BackendState, Settings};
+
+/// A watch says something every 2 s. One that is silent for this long is dead: a machine that was cut off
+/// never closes its connections, and news counts as told soon after.
+const SILENCE: Duration = Duration::from_millis(3_500);
+/// Longest wait for a connection, and for the head of an answer.
+const CONNECT: Duration = Duration::from_millis(1_000);
+/// Waits between two tries, doubled with each failure.
+const BACKOFF: Duration = Duration::from_millis(50);
+const BACKOFF_MOST: Duration = Duration::from_millis(800);
+/// Longest line, or whole list, that is taken.
+const LINE_MOST: usize = 4 << 20;
+
+/// A list, or a change of one.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct List {
+    /// Its version.
+    pub index: u64,
+    /// Whether it names all backends.
+    pub snapshot: bool,
+    /// The entries.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// One backend of a list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Endpoint {
+    name: String,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(rename = "type", default)]
+    kind: String,
+    #[serde(default)]
+    group: u16,
+    status: Status,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    since_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Status {
+    Ready,
+    Draining,
+    Gone,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Where a backend listens, and what was last said of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Place {
+    /// Its address as this proxy sees it.
+    pub address: SocketAddr,
+    /// Its state.
+    pub state: BackendState,
+    started_at: Option<f64>,
+}
+
+/// The backends by name and id.
+#[derive(Default)]
+pub struct Directory {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    ids: FxHashMap<String, BackendId>,
+    names: FxHashMap<BackendId, String>,
+    places: FxHashMap<BackendId, Place>,
+}
+
+/// FNV-1a. Fixed, so that a backend has the same id at every proxy and after every restart.
+pub fn hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+impl Directory {
+    /// An empty directory for a deployment.
+    pub fn new(settings: &Settings) -> Directory {
+        Directory {
+            zones: settings.zones.clone(),
+            kinds: settings.machine_kinds.clone(),
+            ..Directory::default()
+        }
+    }
+
+    /// The id of a name. An id, once given, is kept: a backend may come back.
+    fn id(&mut self, name: &str) -> BackendId {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        let wide = hash(name.as_bytes());
+        let mut id = (wide ^ (wide >> 32)) as BackendId;
+        // Two names with one hash: the later one takes the next free number.
+        while self.names.contains_key(&id) {
+            id = id.wrapping_add(1);
+        }
+        self.ids.insert(name.to_string(), id);
+        self.names.insert(id, name.to_string());
+        id
+    }
+
+    /// Takes a list in. Gives it in the module's terms, and the backends whose idle connections are of no
+    /// more use: they drain, are gone, have restarted or are elsewhere.
+    pub fn apply(&mut self, list: &List) -> (Vec<BackendInfo>, Vec<BackendId>) {
+        let before = self.places.clone();
+        if list.snapshot {
+            self.places.values_mut().for_each(|place| place.state = BackendState::Gone);
+        }
+        let mut infos = Vec::with_capacity(list.endpoints.len());
+        for endpoint in &list.endpoints {
+            let id = self.id(&endpoint.name);
+            let state = match endpoint.status {
+                Status::Ready => BackendState::Ready,
+                Status::Draining => BackendState::Draining,
+                Status::Gone => BackendState::Gone,
+            };
+            let started_at = (endpoint.since_ms > 0.0).then_some(endpoint.since_ms);
+            self.places.insert(id, Place { address: endpoint.address, state, started_at });
+            let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+            infos.push(BackendInfo {
+                id,
+                zone: place(&self.zones, &endpoint.zone).map_or(u16::MAX, |i| i as u16),
+                kind: place(&self.kinds, &endpoint.kind).map_or(u8::MAX, |i| i as u8),
+                cell: endpoint.group,
+                state,
+                rating: endpoint.weight,
+                started_at,
+            });
+        }
+        let changed = before.iter().filter(|(id, place)| self.places[*id] != **place);
+        let stale = changed.map(|(id, _)| *id).collect();
+        (infos, stale)
+    }
+
+    /// Where a backend is, if any list has named it.
+    pub fn place(&self, id: BackendId) -> Option<Place> {
+        self.places.get(&id).copied()
+    }
+}
+
+async fn get(
+    address: SocketAddr,
+    path: &str,
+) -> Result<(hyper::body::Incoming, impl std::future::Future<Output = hyper::Result<()>>), String> {
+    let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(Io(Wire::new(stream))).await.map_err(|e| e.to_string())?;
+    let request = Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new());
+    let request = request.map_err(|e| e.to_string())?;
+    let mut connection = Box::pin(connection);
+    let answer = sender.send_request(request);
+    tokio::pin!(answer);
+    let response = tokio::select! {
+        biased;
+        response = &mut answer => response,
+        _ = &mut connection => answer.await,
+    };
+    let response = response.map_err(|e| e.to_string())?;
+    if response.status() != StatusCode::OK {
+        return Err(format!("status {}", response.status()));
+    }
+    // The sender goes along: without one the connection would end.
+    Ok((response.into_body(), async move {
+        let _sender = sender;
+        connection.await
+    }))
+}
+
+/// Reads an answer line by line and hands each list on; gives why it ended. `first` bounds the wait for the
+/// answer's beginning, [`SILENCE`] that for each further piece.
+async fn read(address: SocketAddr, path: &str, mut take: impl FnMut(List)) -> String {
+    let opened = match timeout(CONNECT + SILENCE, get(address, path)).await {
+        Ok(Ok(opened)) => opened,
+        Ok(Err(why)) => return why,
+        Err(_) => return "no answer".into(),
+    };
+    let (mut body, connection) = opened;
+    tokio::pin!(connection);
+    let mut connected = true;
+    let mut text: Vec<u8> = Vec::new();
+    loop {
+        let frame = async {
+            loop {
+                tokio::select! {
+                    biased;
+                    frame = body.frame() => return frame,
+                    _ = &mut connection, if connected => connected = false,
+                }
+            }
+        };
+        let ended = match timeout(SILENCE, frame).await {
+            Err(_) => return "it fell silent".into(),
+            Ok(Some(Err(e))) => return e.to_string(),
+            Ok(Some(Ok(frame))) => {
+                text.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+                false
+            }
+            Ok(None) => {
+                text.push(b'\n');
+                true
+            }
+        };
+        let whole = text.iter().rposition(|b| *b == b'\n').map_or(0, |i| i + 1);
+        for line in text[..whole].split(|b| *b == b'\n').filter(|l| !l.trim_ascii().is_empty()) {
+            match serde_json::from_slice(line) {
+                Ok(list) => take(list),
+                Err(e) => return format!("garbled list: {e}"),
+            }
+        }
+        text.drain(..whole);
+        match (ended, text.len() > LINE_MOST) {
+            (true, _) => return "it ended".into(),
+            (_, true) => return "a line is too long".into(),
+            _ => {}
+        }
+    }
+}
+
+/// Watches from version `index` until the watch ends; gives why, and the last version seen.
+pub async fn watch(address: SocketAddr, mut index: u64, mut take: impl FnMut(List)) -> (String, u64) {
+    let path = format!("/discovery/hosts?stream=1&index={index}");
+    let why = read(address, &path, |list| {
+        index = list.index;
+        take(list);
+    });
+    let why = why.await;
+    (why, index)
+}
+
+/// Watches for ever. A watch that ends, falls silent or is garbled is opened again from where it stood.
+pub async fn follow(address: SocketAddr, mut index: u64, mut take: impl FnMut(List)) {
+    let mut wait = BACKOFF;
+    let mut failing = false;
+    loop {
+        let mut got = false;
+        let (why, seen) = watch(address, index, |list| {
+            got = true;
+            take(list);
+        })
+        .await;
+        index = seen;
+        if got {
+            (wait, failing) = (BACKOFF, false);
+        }
+        // One line for each spell of trouble, not for each try.
+        if !std::mem::replace(&mut failing, true) {
+            eprintln!("dewrun: discovery watch: {why}; opening it again");
+        }
+        tokio::time::sleep(wait).await;
+        wait = (wait * 2).min(BACKOFF_MOST);
+    }
+}
+
+/// Asks for the whole list once.
+pub async fn fetch(address: SocketAddr) -> Option<List> {
+    let mut got = None;
+    read(address, "/discovery/hosts", |list| got = Some(list)).await;
+    got
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,445 @@
+//! The only owner of the decision module. What happens on the sockets becomes an [`Event`]; the [`Action`]s
+//! that the module gives are carried out in order. Nothing is decided here: this keeps the table of open
+//! requests and the promises of the interface, which are one final answer for each request, one attempt out
+//! at a time, and one outcome for each send.
+
+use super::config::Config;
+use super::discovery::{self, Directory, List};
+use super::upstream::{Answer, Ended, Inbound, Upstream};
+use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
+use tokio::task::{spawn_local, AbortHandle};
+use umberridge::api::*;
+use umberridge::Balancer;
+
+/// Longest time that can be asked for or waited; keeps arithmetic on instants in range.
+const SPAN_MOST: Millis = 3.6e6;
+
+/// The final answer to a caller.
+pub enum Final {
+    /// A backend's answer.
+    Served(Answer),
+    /// Trying again is harmless; not before so many milliseconds, if above 0.
+    Refused(Millis),
+    /// Promises nothing.
+    Failed,
+}
+
+/// What a request is, in the module's terms.
+pub struct Asked {
+    /// Its class.
+    pub class: u8,
+    /// Its tenant.
+    pub tenant: u16,
+    /// What it is about.
+    pub key: Option<u64>,
+    /// Expected work.
+    pub hint_ms: Option<Millis>,
+    /// A client's repeat.
+    pub repeat: bool,
+    /// It writes.
+    pub write: bool,
+    /// When its client leaves.
+    pub deadline: Instant,
+}
+
+/// Unix time in milliseconds that never goes back.
+struct Clock {
+    start: Instant,
+    unix_ms: Millis,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 }
+    }
+
+    fn now(&self) -> Millis {
+        self.unix_ms + self.start.elapsed().as_secs_f64() * 1000.0
+    }
+}
+
+struct Out {
+    attempt: u8,
+    cancel: Option<oneshot::Sender<()>>,
+}
+
+struct Open {
+    inbound: Rc<Inbound>,
+    deadline: Instant,
+    /// Taken by the final answer; empty from then on, and once the caller has left.
+    answer: Option<oneshot::Sender<Final>>,
+    attempts: u32,
+    out: Option<Out>,
+}
+
+enum Happening {
+    List(ListKind, u32, Vec<BackendInfo>),
+    Event(Event<'static>),
+}
+
+struct State {
+    balancer: Balancer,
+    happened: VecDeque<Happening>,
+    actions: Vec<Action>,
+    directory: Directory,
+    open: FxHashMap<RequestId, Open>,
+    next_id: RequestId,
+    index: u64,
+    watch: Option<AbortHandle>,
+}
+
+/// See the module's text.
+pub struct Driver {
+    me: Weak<Driver>,
+    clock: Clock,
+    upstream: Rc<Upstream>,
+    discovery: SocketAddr,
+    must_subscribe: bool,
+    max_attempts: u32,
+    max_open: usize,
+    probe_path: &'static str,
+    listed: Cell<bool>,
+    state: RefCell<State>,
+}
+
+impl Driver {
+    /// Starts the module on the list that the configuration knows, and the watch on discovery.
+    pub fn start(config: Config, upstream: Rc<Upstream>, max_open: usize) -> Rc<Driver> {
+        let settings = config.settings;
+        let driver = Rc::new_cyclic(|me| Driver {
+            me: me.clone(),
+            clock: Clock::new(),
+            upstream,
+            discovery: config.discovery,
+            must_subscribe: settings.must_subscribe,
+            max_attempts: settings.allowed.max_attempts.min(u32::from(u8::MAX)),
+            max_open: max_open.min(settings.allowed.max_open as usize),
+            probe_path: if settings.report_via == ReportVia::Probe { "/metrics/load" } else { "/alive" },
+            listed: Cell::new(false),
+            state: RefCell::new(State {
+                directory: Directory::new(&settings),
+                balancer: Balancer::new(settings, config.seed),
+                happened: VecDeque::new(),
+                actions: Vec::new(),
+                open: FxHashMap::default(),
+                next_id: 1,
+                index: config.known.index,
+                watch: None,
+            }),
+        });
+        // A complete list, whatever it says of itself: it is all that this proxy held.
+        driver.take_list(&List { snapshot: true, ..config.known }, Some(ListKind::Cached));
+        if !driver.must_subscribe {
+            driver.watch(&mut driver.state.borrow_mut());
+        }
+        driver
+    }
+
+    /// Whether discovery has been heard since the start.
+    pub fn is_listed(&self) -> bool {
+        self.listed.get()
+    }
+
+    // ---- what happens ----
+
+    fn take_list(&self, list: &List, kind: Option<ListKind>) {
+        let state = &mut *self.state.borrow_mut();
+        let (infos, stale) = state.directory.apply(list);
+        stale.into_iter().for_each(|backend| self.upstream.close_idle(backend));
+        state.index = list.index;
+        if kind.is_none() {
+            self.listed.set(true);
+        }
+        let kind = kind.unwrap_or(if list.snapshot { ListKind::Full } else { ListKind::Delta });
+        self.handle(state, Happening::List(kind, list.index as u32, infos));
+    }
+
+    /// Takes a request in; `None` if this proxy holds as many as it can. The answer comes exactly once, if
+    /// the guard is kept until then; dropping it earlier tells that the caller has left.
+    pub fn request(&self, asked: Asked, inbound: Inbound) -> Option<(Guard, oneshot::Receiver<Final>)> {
+        let state = &mut *self.state.borrow_mut();
+        if state.open.len() >= self.max_open {
+            return None;
+        }
+        let id = state.next_id;
+        state.next_id += 1;
+        let (answer, receiver) = oneshot::channel();
+        let open = Open {
+            inbound: Rc::new(inbound),
+            deadline: asked.deadline,
+            answer: Some(answer),
+            attempts: 0,
+            out: None,
+        };
+        state.open.insert(id, open);
+        let ttl = asked.deadline.saturating_duration_since(Instant::now());
+        let event = Event::Request {
+            id,
+            key: asked.key,
+            class: asked.class,
+            tenant: asked.tenant,
+            hint_ms: asked.hint_ms,
+            repeat: asked.repeat,
+            write: asked.write,
+            ttl_ms: ttl.as_secs_f64() * 1000.0,
+        };
+        self.handle(state, Happening::Event(event));
+        Some((Guard { driver: self.me.clone(), id }, receiver))
+    }
+
+    /// The caller has left, or can be kept waiting no longer: fails what is still owed.
+    fn close(&self, id: RequestId) {
+        let state = &mut *self.state.borrow_mut();
+        let Some(open) = state.open.get_mut(&id) else { return };
+        let Some(answer) = open.answer.take() else { return };
+        let _ = answer.send(Final::Failed);
+        self.handle(state, Happening::Event(Event::ClientGone { request: id }));
+        Driver::forget(state, id);
+    }
+
+    /// Fails all that is open: the process is about to end.
+    pub fn close_all(&self) {
+        let ids: Vec<RequestId> = self.state.borrow().open.keys().copied().collect();
+        ids.into_iter().for_each(|id| self.close(id));
+    }
+
+    fn attempt_ended(&self, request: RequestId, backend: BackendId, sent: Instant, ended: Ended) {
+        let state = &mut *self.state.borrow_mut();
+        let Some(open) = state.open.get_mut(&request) else { return };
+        let Some(out) = open.out.take() else { return };
+        if let Some(answer) = ended.answer {
+            if let Some(sender) = open.answer.take() {
+                let _ = sender.send(Final::Served(answer));
+            }
+        }
+        let event = Event::Outcome {
+            request,
+            attempt: out.attempt,
+            backend,
+            outcome: ended.outcome,
+            took_ms: ended.at.saturating_duration_since(sent).as_secs_f64() * 1000.0,
+            ended: open.answer.is_none(),
+            report: ended.report,
+        };
+        self.handle(state, Happening::Event(event));
+        Driver::forget(state, request);
+    }
+
+    fn event(&self, event: Event<'static>) {
+        self.handle(&mut self.state.borrow_mut(), Happening::Event(event));
+    }
+
+    /// Gives one happening to the module and carries out what it wants, with all that follows at once.
+    /// Carrying out only queues and spawns, so the module is never entered from within itself.
+    fn handle(&self, state: &mut State, happening: Happening) {
+        state.happened.push_back(happening);
+        while let Some(happening) = state.happened.pop_front() {
+            let mut actions = std::mem::take(&mut state.actions);
+            let event = match &happening {
+                Happening::Event(event) => *event,
+                Happening::List(kind, version, backends) => {
+                    Event::BackendsChanged { kind: *kind, version: *version, backends }
+                }
+            };
+            state.balancer.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(state, action);
+            }
+            state.actions = actions;
+        }
+    }
+
+    // ---- what is to be done ----
+
+    fn carry_out(&self, state: &mut State, action: Action) {
+        match action {
+            Action::Send { request, backend, timeout_ms } => self.send(state, request, backend, timeout_ms),
+            Action::Refuse { request, retry_after_ms } => {
+                Driver::finish(state, request, Final::Refused(retry_after_ms));
+            }
+            Action::Fail { request } => Driver::finish(state, request, Final::Failed),
+            Action::Cancel { request, attempt } => {
+                let out = state.open.get_mut(&request).and_then(|open| open.out.as_mut());
+                if let Some(cancel) = out.filter(|o| o.attempt == attempt).and_then(|o| o.cancel.take()) {
+                    let _ = cancel.send(());
+                }
+            }
+            Action::SetTimer { after_ms, token } => self.later(after_ms, token),
+            Action::Probe { backend } => self.probe(state, backend),
+            Action::CloseIdle { backend } => self.upstream.close_idle(backend),
+            // The protocol has no form for these, and the settings permit none.
+            Action::Message { .. } => {}
+            Action::Subscribe { on: true } => self.watch(state),
+            Action::Subscribe { on: false } => {
+                if let Some(watch) = state.watch.take() {
+                    watch.abort();
+                }
+            }
+            Action::Fetch => self.fetch(),
+            // The module limits these itself.
+            Action::Log(line) => eprintln!("dewrun: {line}"),
+        }
+    }
+
+    fn finish(state: &mut State, request: RequestId, with: Final) {
+        if let Some(answer) = state.open.get_mut(&request).and_then(|open| open.answer.take()) {
+            let _ = answer.send(with);
+        }
+        Driver::forget(state, request);
+    }
+
+    /// Drops a request that is over and has no attempt out.
+    fn forget(state: &mut State, request: RequestId) {
+        if state.open.get(&request).is_some_and(|open| open.answer.is_none() && open.out.is_none()) {
+            state.open.remove(&request);
+        }
+    }
+
+    fn send(&self, state: &mut State, request: RequestId, backend: BackendId, timeout_ms: Millis) {
+        let place = state.directory.place(backend);
+        let open = state.open.get_mut(&request);
+        // Guards the rules whatever the module says: nothing for a request that is over, no second copy, no
+        // attempt past the most.
+        let fit = open.filter(|o| o.answer.is_some() && o.out.is_none() && o.attempts < self.max_attempts);
+        let (Some(open), Some(place)) = (fit, place) else {
+            let event = Event::Outcome {
+                request,
+                attempt: state.open.get(&request).map_or(0, |open| open.attempts as u8),
+                backend,
+                outcome: Outcome::Moot,
+                took_ms: 0.0,
+                ended: state.open.get(&request).is_none_or(|open| open.answer.is_none()),
+                report: Report::default(),
+            };
+            state.happened.push_back(Happening::Event(event));
+            return;
+        };
+        let (cancel, cancelled) = oneshot::channel();
+        open.out = Some(Out { attempt: open.attempts as u8, cancel: Some(cancel) });
+        open.attempts += 1;
+        let sent = Instant::now();
+        let until = match timeout_ms {
+            0.0 => open.deadline,
+            ms => open.deadline.min(sent + span(ms)),
+        };
+        let (me, inbound) = (self.me.clone(), open.inbound.clone());
+        spawn_local(async move {
+            let Some(driver) = me.upgrade() else { return };
+            // All goes by the list as it is when the first byte is about to leave.
+            let may_write = || {
+                let state = driver.state.borrow();
+                state.directory.place(backend).is_some_and(|p| p.state == BackendState::Ready)
+                    && state.open.get(&request).is_some_and(|open| open.answer.is_some())
+            };
+            let upstream = driver.upstream.clone();
+            let attempt = upstream.attempt(backend, place.address, &inbound, until, may_write);
+            let ended = tokio::select! {
+                biased;
+                ended = attempt => ended,
+                // The attempt was dropped, and its connection closed, before this is told.
+                Ok(()) = cancelled => Ended::now(Outcome::Cancelled),
+            };
+            driver.attempt_ended(request, backend, sent, ended);
+        });
+    }
+
+    fn later(&self, after_ms: Millis, token: u64) {
+        let me = self.me.clone();
+        spawn_local(async move {
+            tokio::time::sleep(span(after_ms)).await;
+            if let Some(driver) = me.upgrade() {
+                driver.event(Event::Timer { token });
+            }
+        });
+    }
+
+    fn probe(&self, state: &State, backend: BackendId) {
+        let (me, upstream, path) = (self.me.clone(), self.upstream.clone(), self.probe_path);
+        let (place, sent) = (state.directory.place(backend), Instant::now());
+        spawn_local(async move {
+            let ended = match place {
+                Some(place) => upstream.probe(place.address, path).await,
+                None => Ended::now(Outcome::Moot),
+            };
+            let Some(driver) = me.upgrade() else { return };
+            let took_ms = ended.at.saturating_duration_since(sent).as_secs_f64() * 1000.0;
+            let (outcome, report) = (ended.outcome, ended.report);
+            driver.event(Event::ProbeResult { backend, outcome, took_ms, report });
+        });
+    }
+
+    /// Follows the list from the version held. Where lists are pushed this goes on for ever; where they are
+    /// asked for, the module is told of the end and decides when to ask again.
+    fn watch(&self, state: &mut State) {
+        if let Some(watch) = state.watch.take() {
+            watch.abort();
+        }
+        let (me, address, index, ask) = (self.me.clone(), self.discovery, state.index, self.must_subscribe);
+        let take = move |list: List| {
+            if let Some(driver) = me.upgrade() {
+                driver.take_list(&list, None);
+            }
+        };
+        let me = self.me.clone();
+        let watch = spawn_local(async move {
+            if !ask {
+                return discovery::follow(address, index, take).await;
+            }
+            discovery::watch(address, index, take).await;
+            if let Some(driver) = me.upgrade() {
+                driver.list_failed();
+            }
+        });
+        state.watch = Some(watch.abort_handle());
+    }
+
+    fn fetch(&self) {
+        let (me, address) = (self.me.clone(), self.discovery);
+        spawn_local(async move {
+            let list = discovery::fetch(address).await;
+            match (me.upgrade(), list) {
+                (None, _) => {}
+                (Some(driver), Some(list)) => driver.take_list(&list, None),
+                (Some(driver), None) => driver.list_failed(),
+            }
+        });
+    }
+
+    fn list_failed(&self) {
+        let state = &mut *self.state.borrow_mut();
+        let version = state.index as u32;
+        self.handle(state, Happening::List(ListKind::Failed, version, Vec::new()));
+    }
+}
+
+fn span(ms: Millis) -> Duration {
+    Duration::from_secs_f64(if ms.is_finite() { ms.clamp(0.0, SPAN_MOST) / 1000.0 } else { 0.0 })
+}
+
+/// Stands for a caller that waits.
+pub struct Guard {
+    driver: Weak<Driver>,
+    id: RequestId,
+}
+
+impl Guard {
+    /// Fails the request if it still has no answer.
+    pub fn close(&self) {
+        if let Some(driver) = self.driver.upgrade() {
+            driver.close(self.id);
+        }
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
