Tell refused clients when to come back; harden idle closing and the log

Cause: every refusal went out with no Retry-After, so clients came back by their own backoff, some at once. The module now names half a mean latency, spread by chance, at the top tier only.

--- a/src/api.rs
+++ b/src/api.rs
@@ -140,9 +140,9 @@
     pub probe: bool,
     /// Two attempts of one request may be out at once. No decision reads it.
     pub parallel: bool,
-    /// Clients are told [`Action::Refuse::retry_after_ms`]. No decision reads it.
+    /// Clients are told [`Action::Refuse::retry_after_ms`].
     pub retry_after: bool,
-    /// The longest such wait that a client follows. No decision reads it.
+    /// The longest such wait that a client follows.
     pub max_retry_after_ms: Millis,
     /// The most attempts for one request.
     pub max_attempts: u32,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -95,6 +95,11 @@
 const COLD_SAVED: f64 = 0.25;
 /// Milliseconds over which the rate of served calls is averaged.
 const RATE_MS: Millis = 3_000.0;
+/// Mean latencies after which a refused client may come back: by then about half of what filled the gate is
+/// done, and its answer can still be in time.
+const COME_BACK: f64 = 0.5;
+/// Milliseconds that stand in for the mean latency while none is known.
+const COME_BACK_BLIND: Millis = 200.0;
 /// Milliseconds before the first new try after a failed call to discovery.
 const ASK_AGAIN_MS: Millis = 300.0;
 /// The only timer token in use: ask discovery again.
@@ -585,11 +590,24 @@
             (Effect::Once, Some(_)) => false,
         };
         actions.push(match harmless {
-            true => Action::Refuse { request: id, retry_after_ms: 0.0 },
+            true => Action::Refuse { request: id, retry_after_ms: self.come_back(held.class) },
             false => Action::Fail { request: id },
         });
     }
 
+    /// When a refused client may come back, spread by chance so that those refused together do not return
+    /// together. Only at the top: further down nobody waits.
+    fn come_back(&mut self, class: usize) -> Millis {
+        let allowed = &self.settings.allowed;
+        let most = allowed.max_retry_after_ms;
+        if self.settings.stage > 0 || !allowed.retry_after {
+            return 0.0;
+        }
+        let mean =
+            Some(self.latencies[class].mean).filter(|mean| *mean > 0.0).unwrap_or(COME_BACK_BLIND);
+        (COME_BACK * mean * (0.5 + self.random())).min(most)
+    }
+
     /// How long to wait for one attempt: all the time left, or less where another try is of use.
     fn attempt_timeout(&self, held: &Held, left: Millis) -> Millis {
         let latency = &self.latencies[held.class];
--- a/src/main.rs
+++ b/src/main.rs
@@ -52,7 +52,7 @@
     match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("dewrun: {why}");
+            net::io::log(why);
             ExitCode::FAILURE
         }
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,6 +1,6 @@
 //! The backend list: its form on the wire, the ids and addresses behind it, and the calls to discovery.
 
-use super::io::{Io, Wire};
+use super::io::{log, Io, Wire};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::{header::HOST, Request, StatusCode};
@@ -16,7 +16,7 @@
 /// never closes its connections, and news counts as told soon after.
 const SILENCE: Duration = Duration::from_millis(3_500);
 /// Longest wait for a connection, and for the head of an answer.
-const CONNECT: Duration = Duration::from_millis(1_000);
+const OPEN: Duration = Duration::from_millis(2_500);
 /// Waits between two tries, doubled with each failure.
 const BACKOFF: Duration = Duration::from_millis(50);
 const BACKOFF_MOST: Duration = Duration::from_millis(800);
@@ -182,10 +182,9 @@
     }))
 }
 
-/// Reads an answer line by line and hands each list on; gives why it ended. `first` bounds the wait for the
-/// answer's beginning, [`SILENCE`] that for each further piece.
+/// Reads an answer line by line and hands each list on; gives why it ended.
 async fn read(address: SocketAddr, path: &str, mut take: impl FnMut(List)) -> String {
-    let opened = match timeout(CONNECT + SILENCE, get(address, path)).await {
+    let opened = match timeout(OPEN, get(address, path)).await {
         Ok(Ok(opened)) => opened,
         Ok(Err(why)) => return why,
         Err(_) => return "no answer".into(),
@@ -260,7 +259,7 @@
         }
         // One line for each spell of trouble, not for each try.
         if !std::mem::replace(&mut failing, true) {
-            eprintln!("dewrun: discovery watch: {why}; opening it again");
+            log(format_args!("discovery watch: {why}; opening it again"));
         }
         tokio::time::sleep(wait).await;
         wait = (wait * 2).min(BACKOFF_MOST);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,6 +5,7 @@
 
 use super::config::Config;
 use super::discovery::{self, Directory, List};
+use super::io::log;
 use super::upstream::{Answer, Ended, Inbound, Upstream};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -284,7 +285,7 @@
             }
             Action::Fetch => self.fetch(),
             // The module limits these itself.
-            Action::Log(line) => eprintln!("dewrun: {line}"),
+            Action::Log(line) => log(line),
         }
     }
 
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -4,7 +4,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::io::{ErrorKind, Result};
+use std::io::{ErrorKind, Result, Write as _};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
@@ -13,6 +13,11 @@
 use std::time::Instant;
 use tokio::net::TcpStream;
 
+/// Writes a line to the log. Guards against the panic of `eprintln!` where nobody reads the log any more.
+pub fn log(line: impl std::fmt::Display) {
+    let _ = writeln!(std::io::stderr(), "dewrun: {line}");
+}
+
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const CHUNK: usize = 8 * 1024;
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -30,23 +30,43 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// A caller's connection that has carried nothing for this long is closed.
 const CALLER_IDLE: Duration = Duration::from_secs(90);
+/// How long a connection that is to close may take over what it has begun.
+const CLOSE_GRACE: Duration = Duration::from_secs(1);
 /// The module answers at the deadline. If it has not so long after, the driver does.
 const OVERDUE: Duration = Duration::from_millis(10);
 /// After SIGTERM: connections still come for a while; then idle ones are closed; and what is open at the
-/// end is failed, before it could be killed unanswered.
+/// end is failed, before it could be killed unanswered: that is no sooner than the longest deadline, 3 s at
+/// most, and 0.7 s more.
 const STOP_IDLE: Duration = Duration::from_millis(550);
-const STOP_ALL: Duration = Duration::from_millis(3_300);
+const STOP_DEADLINE_MOST: f64 = 3_000.0;
+const STOP_MORE: f64 = 300.0;
 const STOP_LAST: Duration = Duration::from_millis(150);
 
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+
 type Reply = Response<Full<Bytes>>;
 
 struct Caller {
     wire: Rc<Wire>,
     busy: Cell<bool>,
     used: Cell<Instant>,
+    closing: Cell<bool>,
     close: Notify,
 }
 
+impl Caller {
+    /// Whether its connection can be closed without harm: nothing of a request was read or waits to be.
+    fn is_idle(&self) -> bool {
+        !self.busy.get() && !self.closing.get() && self.wire.is_quiet()
+    }
+
+    fn close(&self) {
+        self.closing.set(true);
+        self.close.notify_one();
+    }
+}
+
 /// Serves callers.
 pub struct Server {
     driver: Rc<Driver>,
@@ -94,11 +114,13 @@
                     }
                     spawn_local(self.clone().connection(stream));
                 }
-                // Out of descriptors, or the caller left before it was accepted. Idle connections give way.
-                Err(_) => {
+                // Guards against an end of the loop: out of descriptors, idle connections give way.
+                Err(e) if matches!(e.raw_os_error(), Some(EMFILE | ENFILE)) => {
                     let _ = self.shed() || self.upstream.shed();
                     sleep(Duration::from_millis(5)).await;
                 }
+                // The caller left before it was accepted.
+                Err(_) => sleep(Duration::from_millis(1)).await,
             }
         }
     }
@@ -106,16 +128,15 @@
     /// Closes the connection that has been idle longest; false if all are busy.
     fn shed(&self) -> bool {
         let callers = self.callers.borrow();
-        let idle = callers.values().filter(|c| !c.busy.get() && c.wire.is_quiet());
-        let oldest = idle.min_by_key(|c| c.used.get());
-        oldest.inspect(|caller| caller.close.notify_one()).is_some()
+        let oldest = callers.values().filter(|c| c.is_idle()).min_by_key(|c| c.used.get());
+        oldest.inspect(|caller| caller.close()).is_some()
     }
 
     /// Closes connections idle since before `limit`, but for those with a request still to be read.
     fn close_idle(&self, limit: Duration) {
         for caller in self.callers.borrow().values() {
-            if !caller.busy.get() && caller.used.get().elapsed() >= limit && caller.wire.is_quiet() {
-                caller.close.notify_one();
+            if caller.used.get().elapsed() >= limit && caller.is_idle() {
+                caller.close();
             }
         }
     }
@@ -133,8 +154,10 @@
     pub async fn stop(&self) {
         self.stopping.set(true);
         let told = Instant::now();
+        let longest = self.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max).min(STOP_DEADLINE_MOST);
+        let most = Duration::from_secs_f64((longest + STOP_MORE) / 1000.0);
         sleep(STOP_IDLE).await;
-        while !self.callers.borrow().is_empty() && told.elapsed() < STOP_ALL {
+        while !self.callers.borrow().is_empty() && told.elapsed() < most {
             self.close_idle(Duration::ZERO);
             sleep(Duration::from_millis(20)).await;
         }
@@ -153,6 +176,7 @@
             wire: wire.clone(),
             busy: Cell::new(false),
             used: Cell::new(Instant::now()),
+            closing: Cell::new(false),
             close: Notify::new(),
         });
         let number = self.next.replace(self.next.get() + 1);
@@ -163,17 +187,15 @@
         });
         let serving = http1::Builder::new().max_buf_size(BODY_MOST).serve_connection(Io(wire), service);
         tokio::pin!(serving);
-        let mut closing = false;
         loop {
             tokio::select! {
                 biased;
                 // An error here is the caller's leaving or nonsense instead of HTTP; both end with the
                 // connection, and a request that was open with its guard.
                 _ = &mut serving => break,
-                _ = caller.close.notified(), if !closing => {
-                    closing = true;
-                    serving.as_mut().graceful_shutdown();
-                }
+                () = caller.close.notified() => serving.as_mut().graceful_shutdown(),
+                // Guards against a head that never ends, which a graceful end would await for ever.
+                () = sleep(CLOSE_GRACE), if caller.closing.get() && !caller.busy.get() => break,
             }
         }
         self.callers.borrow_mut().remove(&number);
