Test the proxy over loopback sockets

One test for each promise: never ran or may have, the pool, deadlines, callers that leave, drains during a connect, discovery that ends, is garbled or silent, cold start, SIGTERM, descriptors, bad input, broken answers, faults at the start.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -603,8 +603,7 @@
         if self.settings.stage > 0 || !allowed.retry_after {
             return 0.0;
         }
-        let mean =
-            Some(self.latencies[class].mean).filter(|mean| *mean > 0.0).unwrap_or(COME_BACK_BLIND);
+        let mean = Some(self.latencies[class].mean).filter(|mean| *mean > 0.0).unwrap_or(COME_BACK_BLIND);
         (COME_BACK * mean * (0.5 + self.random())).min(most)
     }
 
--- /dev/null
+++ b/tests/proxy/main.rs
@@ -0,0 +1,308 @@
+//! The real proxy over loopback sockets: one test for each promise that a failure once broke or could break.
+
+mod harness;
+use harness::*;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+/// A proxy whose discovery lists these backends as `b0`, `b1` and so on.
+fn before(backends: &[&Backend]) -> (Proxy, Discovery) {
+    let names = backends.iter().enumerate().map(|(i, b)| entry(&format!("b{i}"), b.address, "ready"));
+    let discovery = Discovery::start(Some(list(5, true, &names.collect::<Vec<_>>())));
+    (Proxy::start(&config(discovery.address, &list(0, true, &[]))), discovery)
+}
+
+#[test]
+fn passes_requests_and_answers_on_unchanged_over_one_kept_connection() {
+    let backend = Backend::saying(OK);
+    let (proxy, _discovery) = before(&[&backend]);
+    for (class, body) in [("read", ""), ("keyed", "pay \0 load"), ("once", "x"), ("read", "")] {
+        let reply = proxy.call(&ask(class, "9b1f03aa5c7e2d41", 8_000, body));
+        assert_eq!((reply.status(), &reply.body[..]), (200, &b"hello"[..]), "{class}");
+        let seen = backend.seen.lock().unwrap().last().expect("a request").clone();
+        let method = if class == "read" { "GET" } else { "POST" };
+        assert!(seen.head.starts_with(&format!("{method} /api/7f3a?q=1 HTTP/1.1\r\n")), "{}", seen.head);
+        assert_eq!(seen.body, body.as_bytes());
+        assert_eq!(seen.header("request-id"), Some("9b1f03aa5c7e2d41"));
+        assert_eq!(seen.header("idempotency-key"), (class == "keyed").then_some("k1"));
+        let left: u64 =
+            seen.header("request-timeout-ms").expect("a time").parse().expect("whole milliseconds");
+        assert!((1..=8_000).contains(&left), "{left}");
+    }
+    assert_eq!(backend.connections.load(Ordering::SeqCst), 1, "the connection is kept and used again");
+}
+
+#[test]
+fn what_may_have_run_once_is_never_sent_again_nor_refused() {
+    // The connection ends after the whole request: it may have run.
+    let backend = Backend::start(|_, _| false);
+    let (proxy, _discovery) = before(&[&backend, &Backend::start(|_, _| false)]);
+    let reply = proxy.call(&ask("once", "a1", 8_000, "x"));
+    assert_eq!(reply.status(), 502);
+    assert!(backend.seen() <= 1);
+}
+
+#[test]
+fn what_never_ran_goes_to_another_backend() {
+    let (listener, dead) = listen();
+    drop(listener);
+    let unwilling = Backend::saying("HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+    let good = Backend::saying(OK);
+    let names = [("dead", dead), ("full", unwilling.address), ("good", good.address)];
+    let discovery = Discovery::start(Some(list(5, true, &names.map(|(n, a)| entry(n, a, "ready")))));
+    let proxy = Proxy::start(&config(discovery.address, &list(0, true, &[])));
+    for n in 0..12 {
+        assert_eq!(proxy.call(&ask("once", &format!("c{n}"), 8_000, "x")).status(), 200);
+    }
+    assert_eq!(good.seen(), 12, "each took effect once");
+}
+
+#[test]
+fn a_connection_that_died_in_the_pool_is_not_written_to() {
+    let backend = Backend::start(|_, stream| {
+        stream.write_all(OK.as_bytes()).expect("the answer is written");
+        false
+    });
+    let (proxy, _discovery) = before(&[&backend]);
+    for n in 0..20 {
+        assert_eq!(proxy.call(&ask("once", &format!("d{n}"), 8_000, "x")).status(), 200, "request {n}");
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(backend.seen(), 20);
+}
+
+#[test]
+fn broken_and_oversized_answers_are_never_served() {
+    let large = Box::leak(ok(&"x".repeat(64 * 1024 + 1)).into_boxed_str());
+    let endless = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
+    for text in [&*large, endless, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", "nonsense\r\n\r\n"] {
+        let backend = Backend::start(move |_, stream| {
+            let _ = stream.write_all(text.as_bytes());
+            false
+        });
+        let (mut proxy, _discovery) = before(&[&backend]);
+        let reply = proxy.call(&ask("once", "e1", 8_000, "x"));
+        assert_eq!(reply.status(), 502, "{:.40}", text);
+        assert!(proxy.is_running());
+    }
+}
+
+#[test]
+fn the_largest_body_goes_through_whole_both_ways() {
+    let backend = Backend::start(|_, stream| stream.write_all(ok(&"y".repeat(64 * 1024)).as_bytes()).is_ok());
+    let (proxy, _discovery) = before(&[&backend]);
+    let reply = proxy.call(&ask("keyed", "f1", 8_000, &"x".repeat(64 * 1024)));
+    assert_eq!((reply.status(), reply.body.len()), (200, 64 * 1024));
+    assert_eq!(backend.seen.lock().unwrap()[0].body.len(), 64 * 1024);
+}
+
+#[test]
+fn an_attempt_given_up_closes_its_connection_and_is_answered_at_the_deadline() {
+    let backend = Backend::start(|_, _| true);
+    let (proxy, _discovery) = before(&[&backend]);
+    let asked = Instant::now();
+    let reply = proxy.call(&ask("once", "g1", 600, "x"));
+    assert_eq!(reply.status(), 502);
+    assert!(asked.elapsed() >= Duration::from_millis(550), "the whole time was waited");
+    until("the attempt's connection is closed", || backend.closed.load(Ordering::SeqCst) == 1);
+    assert_eq!(backend.seen(), 1);
+}
+
+#[test]
+fn nothing_more_is_sent_for_a_caller_that_left() {
+    let backend = Backend::start(|_, _| true);
+    let (proxy, _discovery) = before(&[&backend]);
+    let caller = open(proxy.address, &ask("read", "h1", 20_000, ""));
+    until("the request is out", || backend.seen() == 1);
+    drop(caller);
+    until("the attempt is given up", || backend.closed.load(Ordering::SeqCst) == 1);
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(backend.seen(), 1);
+}
+
+#[test]
+fn a_send_that_waits_for_a_connection_does_not_start_after_a_drain() {
+    use socket2::{Domain, Socket, Type};
+    // Room for one connection that nobody accepts: the next one does not come up.
+    let slow = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    slow.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).expect("a port");
+    slow.listen(0).expect("it listens");
+    let address = slow.local_addr().unwrap().as_socket().unwrap();
+    let filler = TcpStream::connect(address).expect("the queue is empty");
+    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", address, "ready")])));
+    let proxy = Proxy::start(&config(discovery.address, &list(0, true, &[])));
+    let caller = open(proxy.address, &ask("read", "i1", 20_000, ""));
+    thread::sleep(Duration::from_millis(300));
+    discovery.say(&list(6, false, &[entry("b0", address, "draining")]));
+    thread::sleep(Duration::from_millis(600));
+    drop(slow.accept().expect("the filler"));
+    drop(filler);
+    // The system tries the connection again by itself, and now it comes up.
+    let (late, _) = slow.accept().expect("the proxy's connection");
+    late.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut bytes = Vec::new();
+    (&late).read_to_end(&mut bytes).expect("it is closed in order");
+    assert_eq!(bytes, b"", "nothing may be written to it");
+    assert_eq!(answer(&caller).expect("an answer").status(), 503);
+}
+
+#[test]
+fn a_watch_that_ends_or_is_garbled_is_opened_again_from_where_it_stood() {
+    let (first, second, third) = (Backend::saying(OK), Backend::saying(OK), Backend::saying(OK));
+    let (proxy, discovery) = before(&[&first]);
+    let call = |id: &str| assert_eq!(proxy.call(&ask("read", id, 8_000, "")).status(), 200);
+    call("j1");
+    // Absent from the next whole list: gone.
+    discovery.set(list(7, true, &[entry("b1", second.address, "ready")]));
+    discovery.hang_up();
+    until("the watch is opened again", || discovery.asked.lock().unwrap().len() == 2);
+    assert!(discovery.asked.lock().unwrap()[1].contains("index=5"));
+    until("the new list is in use", || {
+        call("j2");
+        second.seen() > 0
+    });
+    let seen = first.seen();
+    discovery.set(list(9, true, &[entry("b1", third.address, "ready")]));
+    discovery.say("{\"index\":8,\"snapshot\":fal");
+    until("the watch is opened again", || discovery.asked.lock().unwrap().len() == 3);
+    assert!(discovery.asked.lock().unwrap()[2].contains("index=7"));
+    // The same name at another address: the pooled connection to the old one is of no use.
+    until("the new address is in use", || {
+        call("j3");
+        third.seen() > 0
+    });
+    let old = second.seen();
+    (0..10).for_each(|_| call("j4"));
+    assert_eq!((first.seen(), second.seen()), (seen, old), "nothing goes to where a backend no longer is");
+}
+
+#[test]
+fn a_silent_watch_is_opened_again() {
+    let backend = Backend::saying(OK);
+    let (_proxy, discovery) = before(&[&backend]);
+    discovery.fall_silent();
+    until("the watch is opened again", || discovery.asked.lock().unwrap().len() >= 2);
+}
+
+#[test]
+fn a_silent_discovery_does_not_keep_a_proxy_from_serving_what_it_knows() {
+    let backend = Backend::saying(OK);
+    let discovery = Discovery::start(None);
+    let known = list(4, true, &[entry("b0", backend.address, "ready")]);
+    let proxy = Proxy::start(&config(discovery.address, &known));
+    assert_eq!(proxy.call(&ask("read", "k1", 8_000, "")).status(), 200);
+}
+
+#[test]
+fn an_orderly_end_answers_all_that_was_taken() {
+    let backend = Backend::start(|n, stream| {
+        if n == 0 {
+            thread::sleep(Duration::from_millis(1_500));
+        }
+        stream.write_all(OK.as_bytes()).is_ok()
+    });
+    let (mut proxy, _discovery) = before(&[&backend]);
+    let idle = open(proxy.address, "GET /up HTTP/1.1\r\nHost: p\r\n\r\n");
+    assert_eq!(answer(&idle).expect("an answer").status(), 200);
+    let slow = open(proxy.address, &ask("once", "l1", 10_000, "x"));
+    until("the request is out", || backend.seen() == 1);
+    proxy.terminate();
+    thread::sleep(Duration::from_millis(400));
+    let late = proxy.call(&ask("read", "l2", 10_000, ""));
+    assert_eq!((late.status(), late.header("connection")), (200, Some("close")));
+    let reply = answer(&slow).expect("an answer");
+    assert_eq!((reply.status(), reply.header("connection")), (200, Some("close")));
+    assert!(answer(&idle).is_none(), "an idle connection is closed");
+    assert!(proxy.wait().success());
+}
+
+#[test]
+fn an_orderly_end_fails_what_it_cannot_finish() {
+    let backend = Backend::start(|_, _| true);
+    let (mut proxy, _discovery) = before(&[&backend]);
+    let stuck = open(proxy.address, &ask("once", "m1", 20_000, "x"));
+    until("the request is out", || backend.seen() == 1);
+    proxy.terminate();
+    assert_eq!(answer(&stuck).expect("an answer before it could be killed").status(), 502);
+    assert!(proxy.wait().success());
+}
+
+#[test]
+fn bad_input_is_answered_at_once_and_never_sent_on() {
+    let backend = Backend::saying(OK);
+    let (mut proxy, _discovery) = before(&[&backend]);
+    let good = ask("keyed", "n1", 8_000, "body");
+    assert_eq!(proxy.call(&good).status(), 200);
+    let bad = [
+        good.replace("Class: keyed", "Class: unheard"),
+        good.replace("Request-Class: keyed\r\n", ""),
+        good.replace("Tenant: acme", "Tenant: nobody"),
+        good.replace("Tenant: acme\r\n", ""),
+        good.replace("Request-Id: n1\r\n", ""),
+        good.replace("Request-Id: n1", "Request-Id: n 1"),
+        good.replace("Request-Id: n1", "Request-Id: n1\r\nRequest-Id: n2"),
+        good.replace("Timeout-Ms: 8000", "Timeout-Ms: soon"),
+        good.replace("Timeout-Ms: 8000", "Timeout-Ms: -1"),
+        good.replace("Timeout-Ms: 8000", "Timeout-Ms: 99999999999999999999"),
+        good.replace("Request-Timeout-Ms: 8000\r\n", ""),
+        good.replace("Idempotency-Key: k1\r\n", ""),
+        good.replace("POST", "GET"),
+        good.replace("Length: 4", "Length: 70000"),
+        good.replace("Length: 4", "Length: four"),
+        good.replace("Content-Length: 4", "Transfer-Encoding: chunked"),
+        "nonsense\r\n\r\n".to_string(),
+    ];
+    for request in bad {
+        let status = proxy.call(&request).status();
+        assert!((400..500).contains(&status) && status != 429, "{status} for {request}");
+    }
+    let chopped = open(proxy.address, &good[..good.len() - 2]);
+    chopped.shutdown(Shutdown::Write).expect("it ends");
+    assert!(answer(&chopped).is_none_or(|m| (400..500).contains(&m.status())));
+    assert!(proxy.is_running());
+    assert_eq!(backend.seen(), 1);
+}
+
+#[test]
+fn idle_connections_give_way_when_descriptors_run_out() {
+    let backend = Backend::saying(OK);
+    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", backend.address, "ready")])));
+    let config = config(discovery.address, &list(0, true, &[]));
+    // The configuration speaks of far more than the system gives.
+    let mut proxy = Proxy::start_by("ulimit -n 48; exec \"$0\"", &config);
+    let idle: Vec<TcpStream> =
+        (0..120).map(|_| open(proxy.address, "GET /up HTTP/1.1\r\nHost: p\r\n\r\n")).collect();
+    assert_eq!(proxy.call(&ask("read", "o1", 20_000, "")).status(), 200);
+    assert!(proxy.is_running());
+    drop(idle);
+}
+
+#[test]
+fn says_in_one_line_why_it_cannot_start() {
+    let (taken, address) = listen();
+    let (free, other) = listen();
+    drop(free);
+    let good = config(address, &list(0, true, &[]));
+    let cases = [
+        (good.clone(), address, "address"),
+        (good.replace("\"Aim\":2000", "\"Aim\":0"), other, "Classes[0].Aim"),
+        (good.replace("\"seed\":\"8c", "\"seed\":\"xx"), other, "seed"),
+        (good[..40].to_string(), other, "EOF"),
+    ];
+    for (config, listen, names) in cases {
+        let output = spawn("exec \"$0\"", &config, listen).output().expect("it runs");
+        let log = String::from_utf8(output.stderr).expect("text");
+        assert!(!output.status.success());
+        assert_eq!(log.lines().count(), 1, "{log}");
+        assert!(log.to_lowercase().contains(&names.to_lowercase()), "{log}");
+    }
+    let missing = spawn("unset NODE_CONFIG; exec \"$0\"", &good, other).output().expect("it runs");
+    assert!(!missing.status.success());
+    assert_eq!(missing.stderr, b"dewrun: NODE_CONFIG is not set\n");
+    drop(taken);
+}
