--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,7 +2,7 @@
 
 use super::io::{log, Io, Wire};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{header::HOST, Request, StatusCode};
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
@@ -58,6 +58,9 @@
     Ready,
     Draining,
     Gone,
+    /// A status of a later version: nothing new goes to what is not known to be ready.
+    #[serde(other)]
+    Unheard,
 }
 
 fn one() -> f64 {
@@ -127,7 +130,7 @@
             let id = self.id(&endpoint.name);
             let state = match endpoint.status {
                 Status::Ready => BackendState::Ready,
-                Status::Draining => BackendState::Draining,
+                Status::Draining | Status::Unheard => BackendState::Draining,
                 Status::Gone => BackendState::Gone,
             };
             let started_at = (endpoint.since_ms > 0.0).then_some(endpoint.since_ms);
@@ -266,9 +269,78 @@
     }
 }
 
-/// Asks for the whole list once.
+/// Asks for the whole list once; it may run over several lines.
 pub async fn fetch(address: SocketAddr) -> Option<List> {
-    let mut got = None;
-    read(address, "/discovery/hosts", |list| got = Some(list)).await;
-    got
+    let ask = async {
+        let (body, connection) = get(address, "/discovery/hosts").await.ok()?;
+        tokio::pin!(connection);
+        let whole = Limited::new(body, LINE_MOST).collect();
+        tokio::pin!(whole);
+        let whole = tokio::select! {
+            biased;
+            whole = &mut whole => whole,
+            _ = &mut connection => whole.await,
+        };
+        serde_json::from_slice(&whole.ok()?.to_bytes()).ok()
+    };
+    timeout(OPEN, ask).await.ok()?
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+
+    fn list(snapshot: bool, entries: &[(&str, &str, &str)]) -> List {
+        let endpoints = entries.iter().map(|(name, address, status)| {
+            let entry = serde_json::json!({ "name": name, "address": address, "status": status });
+            serde_json::from_value(entry).expect("an entry")
+        });
+        List { index: 1, snapshot, endpoints: endpoints.collect() }
+    }
+
+    #[test]
+    fn ids_are_fixed_by_the_name_and_outlive_a_restart() {
+        let mut directory = Directory::default();
+        let (infos, _) = directory.apply(&list(true, &[("s-5be2a07c", "127.0.0.1:1", "ready")]));
+        let id = infos[0].id;
+        // Changing the hash would give backends other ids at proxies of another version.
+        assert_eq!(id, 0x5124_5f7b);
+        directory.apply(&list(true, &[]));
+        assert_eq!(directory.place(id).map(|p| p.state), Some(BackendState::Gone));
+        let (infos, stale) = directory.apply(&list(false, &[("s-5be2a07c", "127.0.0.1:2", "ready")]));
+        assert_eq!((infos[0].id, stale), (id, vec![id]));
+    }
+
+    #[test]
+    fn two_names_with_one_hash_get_two_ids() {
+        let mut directory = Directory::default();
+        let id = directory.id("a");
+        directory.ids.clear();
+        assert_eq!(directory.id("a"), id.wrapping_add(1));
+    }
+
+    #[test]
+    fn an_unheard_status_is_not_sent_to() {
+        let (infos, _) = Directory::default().apply(&list(true, &[("a", "127.0.0.1:1", "resting")]));
+        assert_eq!(infos[0].state, BackendState::Draining);
+    }
+
+    #[test]
+    fn a_fetched_list_may_run_over_several_lines() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let served = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let mut asked = [0; 1024];
+            let _ = stream.read(&mut asked).expect("a request");
+            let list = "{\"index\":41,\n\"snapshot\":true,\n\"endpoints\":[]}\n";
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())
+                .expect("it is sent");
+        });
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let got = runtime.block_on(fetch(address)).expect("a list");
+        assert_eq!((got.index, got.snapshot), (41, true));
+        served.join().expect("it served");
+    }
 }
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -18,6 +18,13 @@
     let _ = writeln!(std::io::stderr(), "dewrun: {line}");
 }
 
+/// Whether a call failed because this process, or the system, may open no more descriptors.
+pub fn out_of_descriptors(error: &std::io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
+}
+
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const CHUNK: usize = 8 * 1024;
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,7 +2,7 @@
 
 use super::discovery::hash;
 use super::driver::{Asked, Driver, Final};
-use super::io::{Io, Wire};
+use super::io::{out_of_descriptors, Io, Wire};
 use super::upstream::{Inbound, Upstream, BODY_MOST, TIMEOUT_HEADER};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -42,9 +42,6 @@
 const STOP_MORE: f64 = 300.0;
 const STOP_LAST: Duration = Duration::from_millis(150);
 
-const EMFILE: i32 = 24;
-const ENFILE: i32 = 23;
-
 type Reply = Response<Full<Bytes>>;
 
 struct Caller {
@@ -115,7 +112,7 @@
                     spawn_local(self.clone().connection(stream));
                 }
                 // Guards against an end of the loop: out of descriptors, idle connections give way.
-                Err(e) if matches!(e.raw_os_error(), Some(EMFILE | ENFILE)) => {
+                Err(e) if out_of_descriptors(&e) => {
                     let _ = self.shed() || self.upstream.shed();
                     sleep(Duration::from_millis(5)).await;
                 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,6 +1,6 @@
 //! Attempts at backends, and the pool of connections to them.
 
-use super::io::{Io, Wire};
+use super::io::{out_of_descriptors, Io, Wire};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{handshake, Connection, SendRequest};
@@ -191,21 +191,26 @@
         None
     }
 
-    async fn connect(&self, address: SocketAddr, until: Instant) -> Option<Conn> {
+    /// A new connection. Want of sockets here is told as [`Outcome::Moot`]: it says nothing of the backend.
+    async fn connect(&self, address: SocketAddr, until: Instant) -> Result<Conn, Outcome> {
         while self.open.get() >= self.most {
             if !self.shed() {
-                return None;
+                return Err(Outcome::Moot);
             }
         }
         let counted = Counted::new(&self.open);
         let until = until.min(Instant::now() + self.connect_timeout);
         let stream = match timeout_at(until.into(), TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
-            _ => return None,
+            Ok(Err(e)) if out_of_descriptors(&e) => {
+                self.shed();
+                return Err(Outcome::Moot);
+            }
+            _ => return Err(Outcome::ConnectFailed),
         };
         let wire = Wire::new(stream);
-        let (sender, protocol) = handshake(Io(wire.clone())).await.ok()?;
-        Some(Conn { sender, protocol: Box::pin(protocol), wire, _counted: counted })
+        let (sender, protocol) = handshake(Io(wire.clone())).await.map_err(|_| Outcome::ConnectFailed)?;
+        Ok(Conn { sender, protocol: Box::pin(protocol), wire, _counted: counted })
     }
 
     /// One attempt of a request. `may_write` is asked right before the first byte goes out. When this
@@ -222,10 +227,13 @@
         loop {
             let pooled = idle.is_some();
             let conn = match idle.take() {
-                Some(conn) => Some(conn),
+                Some(conn) => Ok(conn),
                 None => self.connect(address, until).await,
             };
-            let Some(mut conn) = conn else { return Ended::now(Outcome::ConnectFailed) };
+            let mut conn = match conn {
+                Ok(conn) => conn,
+                Err(outcome) => return Ended::now(outcome),
+            };
             // Guards a drain that was told while the connection came up: nothing new may start then.
             if !may_write() {
                 return Ended::now(Outcome::ConnectFailed);
@@ -252,6 +260,9 @@
                 // It died in the pool and not a byte of the request went out: a fresh one serves as well.
                 continue;
             }
+            // A machine that was cut off says nothing, and its pooled connections look alive for ever. A fresh
+            // one fails soon, and with nothing sent.
+            self.close_idle(backend);
             return Ended::now(match (conn.wire.request_whole(), result) {
                 // A backend begins a request with its last byte: this one never began.
                 (false, _) => Outcome::ConnectFailed,
@@ -264,8 +275,9 @@
     /// Checks a backend once, on a connection of its own.
     pub async fn probe(&self, address: SocketAddr, path: &'static str) -> Ended {
         let until = Instant::now() + self.connect_timeout * 2;
-        let Some(mut conn) = self.connect(address, until).await else {
-            return Ended::now(Outcome::ConnectFailed);
+        let mut conn = match self.connect(address, until).await {
+            Ok(conn) => conn,
+            Err(outcome) => return Ended::now(outcome),
         };
         let request = Request::get(path).header(header::HOST, address.to_string());
         let request = request.body(Full::new(Bytes::new())).expect("a fixed path and an address are valid");
--- a/tests/proxy/harness.rs
+++ b/tests/proxy/harness.rs
@@ -203,7 +203,7 @@
         "settings":{{"Classes":[{},{},{}],"Tenants":[{{"Name":"acme"}},{{"Name":"zeta"}}],
         "Zones":["z"],"MachineTypes":["k"],"FleetSize":1,"MembershipMode":"automatic",
         "Rules":{{"GraceToAnswer":20,"DrainGrace":250,"ColdFrom":0.3,"Cold":8000,"FallMultiple":3,"Fall":3000}},
-        "Allowed":{{"MaxAttempts":5,"Cancelling":true,"ConnectTimeout":5000,"IdleClose":30000,
+        "Allowed":{{"MaxAttempts":5,"Cancelling":true,"ConnectTimeout":5000,"IdleClose":120000,
         "RetryAfter":true,"MaxRetryAfter":2000}}}}}}"#,
         class("read", "repeatable"),
         class("keyed", "by_key"),
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -113,6 +113,24 @@
     assert_eq!(backend.seen(), 1);
 }
 
+#[test]
+fn a_time_out_closes_the_idle_connections_to_that_backend_too() {
+    // A machine that was cut off never closes them; each would cost another time-out.
+    let backend = Backend::start(|n, stream| {
+        if n < 2 {
+            thread::sleep(Duration::from_millis(500));
+            return stream.write_all(OK.as_bytes()).is_ok();
+        }
+        true
+    });
+    let (proxy, _discovery) = before(&[&backend]);
+    let both = ["p1", "p2"].map(|id| open(proxy.address, &ask("once", id, 20_000, "x")));
+    both.iter().for_each(|caller| assert_eq!(answer(caller).expect("an answer").status(), 200));
+    assert_eq!(backend.connections.load(Ordering::SeqCst), 2);
+    assert_eq!(proxy.call(&ask("once", "p3", 600, "x")).status(), 502);
+    until("both connections are closed", || backend.closed.load(Ordering::SeqCst) == 2);
+}
+
 #[test]
 fn nothing_more_is_sent_for_a_caller_that_left() {
     let backend = Backend::start(|_, _| true);
