Serve a request whose head ends while its connection is closing

Cause: the grace for a head that never ends looked at the connection only when the wait began, so a request whose head came late was cut off while a backend worked on it, and lost. Found on rereading select! in src/net/server.rs; the new test fails without the mend (no answer) and passes with it. Ruled out: hyper, which keeps such a connection after a graceful shutdown as it should.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -31,7 +31,7 @@
 /// A caller's connection that has carried nothing for this long is closed.
 const CALLER_IDLE: Duration = Duration::from_secs(90);
 /// How long a connection that is to close may take over what it has begun.
-const CLOSE_GRACE: Duration = Duration::from_secs(1);
+const CLOSE_GRACE: Duration = Duration::from_secs(2);
 /// The module answers at the deadline. If it has not so long after, the driver does.
 const OVERDUE: Duration = Duration::from_millis(10);
 /// After SIGTERM: connections still come for a while; then idle ones are closed; and what is open at the
@@ -191,8 +191,13 @@
                 // connection, and a request that was open with its guard.
                 _ = &mut serving => break,
                 () = caller.close.notified() => serving.as_mut().graceful_shutdown(),
-                // Guards against a head that never ends, which a graceful end would await for ever.
-                () = sleep(CLOSE_GRACE), if caller.closing.get() && !caller.busy.get() => break,
+                // Guards against a head that never ends, which a graceful end would await for ever. One that
+                // did end meanwhile is a request taken: it is served.
+                () = sleep(CLOSE_GRACE), if caller.closing.get() => {
+                    if !caller.busy.get() {
+                        break;
+                    }
+                }
             }
         }
         self.callers.borrow_mut().remove(&number);
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -239,6 +239,23 @@
     assert!(proxy.wait().success());
 }
 
+#[test]
+fn an_orderly_end_serves_a_request_whose_head_ends_late() {
+    // The wait for a head that never ends once cut off the request that it had become.
+    let backend = Backend::start(|_, stream| {
+        thread::sleep(Duration::from_millis(2_000));
+        stream.write_all(OK.as_bytes()).is_ok()
+    });
+    let (proxy, _discovery) = before(&[&backend]);
+    let request = ask("read", "q1", 10_000, "");
+    let (first, rest) = request.split_at(30);
+    let mut caller = open(proxy.address, first);
+    proxy.terminate();
+    thread::sleep(Duration::from_millis(1_000));
+    caller.write_all(rest.as_bytes()).expect("the rest is written");
+    assert!(answer(&caller).is_some(), "the request was taken");
+}
+
 #[test]
 fn an_orderly_end_fails_what_it_cannot_finish() {
     let backend = Backend::start(|_, _| true);
