--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -274,3 +274,21 @@
         assert!((first..=first + 1).contains(&sent), "{sent} calls at a copy of {fleet_size}, not {first}");
     }
 }
+
+#[test]
+fn a_refusal_says_when_to_come_back_where_clients_are_told() {
+    // Clients told nothing came back at once, to a gate that had not moved.
+    let told = |stage, retry_after| {
+        let base = settings();
+        let allowed = Allowed { retry_after, ..base.allowed.clone() };
+        let mut p = Proxy::new(Settings { stage, allowed, ..base }, &[]);
+        p.ask(0, 0, 4_000.0);
+        p.last.iter().find_map(|action| match action {
+            Action::Refuse { retry_after_ms, .. } => Some(*retry_after_ms),
+            _ => None,
+        })
+    };
+    assert!(told(0, true).is_some_and(|ms| ms > 0.0 && ms <= 2_000.0));
+    assert_eq!(told(0, false), Some(0.0), "not permitted");
+    assert_eq!(told(1, true), Some(0.0), "further down nobody waits");
+}
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -341,3 +341,14 @@
     assert_eq!(missing.stderr, b"dewrun: NODE_CONFIG is not set\n");
     drop(taken);
 }
+
+#[test]
+fn a_refusal_carries_the_time_to_come_back_at_once() {
+    let (proxy, _discovery) = before(&[]);
+    let asked = Instant::now();
+    let reply = proxy.call(&ask("read", "r1", 20_000, ""));
+    assert_eq!(reply.status(), 503);
+    let after: f64 = reply.header("retry-after").expect("a time").parse().expect("seconds");
+    assert!(after > 0.0 && after <= 2.0, "{after}");
+    assert!(asked.elapsed() < Duration::from_secs(10), "a final answer is never held back");
+}
