Read the configuration again on SIGHUP and move the watch

Cause: src/main.rs listened for SIGTERM alone, and SIGHUP's default action ends a process. Checked by a test that fails without the mend (the proxy is gone and its caller gets no answer) and passes with it.

Now the file's `discovery` wins on SIGHUP, the watch moves there, and since versions of one discovery mean nothing at another, the whole list is fetched before the watch goes on from its version. Until then the old list stays in use. An unreadable file is one log line. A list that was fetched from the old address and comes late is dropped.

--- a/src/main.rs
+++ b/src/main.rs
@@ -25,8 +25,13 @@
 /// Descriptors kept for the listener, discovery, the runtime and the standard streams.
 const RESERVED_SOCKETS: usize = 32;
 
+fn environment(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
 async fn run(config: Config) -> Result<(), String> {
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
+    let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let settings = config.settings.clone();
     let allowed = &settings.allowed;
@@ -36,6 +41,15 @@
     let upstream = Rc::new(Upstream::new(side, connect_ms, idle_ms, settings.report.clone()));
     let knows_some = !config.known.endpoints.is_empty();
     let driver = Driver::start(config, upstream.clone(), side);
+    let followed = driver.clone();
+    spawn_local(async move {
+        while reload.recv().await.is_some() {
+            match config::reload(environment) {
+                Ok(discovery) => followed.follow(discovery),
+                Err(why) => net::io::log(format_args!("not reloaded: {why}")),
+            }
+        }
+    });
     let server = Server::new(driver, upstream, &settings, knows_some, side);
     spawn_local(server.clone().accept(listener));
     spawn_local(server.clone().tidy());
@@ -45,7 +59,7 @@
 }
 
 fn main() -> ExitCode {
-    let ran = config::load(|name| std::env::var(name).ok()).and_then(|config| {
+    let ran = config::load(environment).and_then(|config| {
         let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
         LocalSet::new().block_on(&runtime, run(config))
     });
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -51,6 +51,19 @@
     parse(&text, env).map_err(|e| format!("{path}: {e}"))
 }
 
+/// Reads the file again and gives its address of discovery. Now the file goes before the environment, which
+/// can't have changed.
+pub fn reload(env: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, String> {
+    #[derive(Deserialize)]
+    struct Changed {
+        discovery: SocketAddr,
+    }
+    let path = env("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
+    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    let changed: Changed = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+    Ok(changed.discovery)
+}
+
 fn parse(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let raw: Raw = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let address = |variable: &str, key: &str, own: Option<String>| {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -234,29 +234,37 @@
     }
 }
 
-/// Watches from version `index` until the watch ends; gives why, and the last version seen.
-pub async fn watch(address: SocketAddr, mut index: u64, mut take: impl FnMut(List)) -> (String, u64) {
-    let path = format!("/discovery/hosts?stream=1&index={index}");
-    let why = read(address, &path, |list| {
-        index = list.index;
+/// Watches from version `index` until the watch ends, and gives why. Where no version is known, the whole list
+/// is asked for first: versions of one address mean nothing at another.
+pub async fn watch(address: SocketAddr, index: &mut Option<u64>, mut take: impl FnMut(List)) -> String {
+    let from = match *index {
+        Some(from) => from,
+        None => {
+            let Some(list) = fetch(address).await else { return "no whole list".into() };
+            let from = *index.insert(list.index);
+            take(list);
+            from
+        }
+    };
+    let path = format!("/discovery/hosts?stream=1&index={from}");
+    read(address, &path, |list| {
+        *index = Some(list.index);
         take(list);
-    });
-    let why = why.await;
-    (why, index)
+    })
+    .await
 }
 
 /// Watches for ever. A watch that ends, falls silent or is garbled is opened again from where it stood.
-pub async fn follow(address: SocketAddr, mut index: u64, mut take: impl FnMut(List)) {
+pub async fn follow(address: SocketAddr, mut index: Option<u64>, mut take: impl FnMut(List)) {
     let mut wait = BACKOFF;
     let mut failing = false;
     loop {
         let mut got = false;
-        let (why, seen) = watch(address, index, |list| {
+        let why = watch(address, &mut index, |list| {
             got = true;
             take(list);
         })
         .await;
-        index = seen;
         if got {
             (wait, failing) = (BACKOFF, false);
         }
@@ -281,7 +289,8 @@
             whole = &mut whole => whole,
             _ = &mut connection => whole.await,
         };
-        serde_json::from_slice(&whole.ok()?.to_bytes()).ok()
+        let list: List = serde_json::from_slice(&whole.ok()?.to_bytes()).ok()?;
+        Some(List { snapshot: true, ..list })
     };
     timeout(OPEN, ask).await.ok()?
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -92,7 +92,8 @@
     directory: Directory,
     open: FxHashMap<RequestId, Open>,
     next_id: RequestId,
-    index: u64,
+    /// The version held; `None` until the present discovery has told its own.
+    index: Option<u64>,
     watch: Option<AbortHandle>,
 }
 
@@ -101,7 +102,7 @@
     me: Weak<Driver>,
     clock: Clock,
     upstream: Rc<Upstream>,
-    discovery: SocketAddr,
+    discovery: Cell<SocketAddr>,
     must_subscribe: bool,
     max_attempts: u32,
     max_open: usize,
@@ -118,7 +119,7 @@
             me: me.clone(),
             clock: Clock::new(),
             upstream,
-            discovery: config.discovery,
+            discovery: Cell::new(config.discovery),
             must_subscribe: settings.must_subscribe,
             max_attempts: settings.allowed.max_attempts.min(u32::from(u8::MAX)),
             max_open: max_open.min(settings.allowed.max_open as usize),
@@ -131,7 +132,7 @@
                 actions: Vec::new(),
                 open: FxHashMap::default(),
                 next_id: 1,
-                index: config.known.index,
+                index: Some(config.known.index),
                 watch: None,
             }),
         });
@@ -143,6 +144,15 @@
         driver
     }
 
+    /// Follows the list at another address from now on. What is held stays in use until that one has told.
+    pub fn follow(&self, discovery: SocketAddr) {
+        if self.discovery.replace(discovery) != discovery {
+            let state = &mut *self.state.borrow_mut();
+            state.index = None;
+            self.watch(state);
+        }
+    }
+
     /// Whether discovery has been heard since the start.
     pub fn is_listed(&self) -> bool {
         self.listed.get()
@@ -154,7 +164,7 @@
         let state = &mut *self.state.borrow_mut();
         let (infos, stale) = state.directory.apply(list);
         stale.into_iter().for_each(|backend| self.upstream.close_idle(backend));
-        state.index = list.index;
+        state.index = Some(list.index);
         if kind.is_none() {
             self.listed.set(true);
         }
@@ -382,7 +392,8 @@
         if let Some(watch) = state.watch.take() {
             watch.abort();
         }
-        let (me, address, index, ask) = (self.me.clone(), self.discovery, state.index, self.must_subscribe);
+        let (me, address, ask) = (self.me.clone(), self.discovery.get(), self.must_subscribe);
+        let mut index = state.index;
         let take = move |list: List| {
             if let Some(driver) = me.upgrade() {
                 driver.take_list(&list, None);
@@ -393,7 +404,7 @@
             if !ask {
                 return discovery::follow(address, index, take).await;
             }
-            discovery::watch(address, index, take).await;
+            discovery::watch(address, &mut index, take).await;
             if let Some(driver) = me.upgrade() {
                 driver.list_failed();
             }
@@ -402,20 +413,20 @@
     }
 
     fn fetch(&self) {
-        let (me, address) = (self.me.clone(), self.discovery);
+        let (me, address) = (self.me.clone(), self.discovery.get());
         spawn_local(async move {
             let list = discovery::fetch(address).await;
-            match (me.upgrade(), list) {
-                (None, _) => {}
-                (Some(driver), Some(list)) => driver.take_list(&list, None),
-                (Some(driver), None) => driver.list_failed(),
+            let Some(driver) = me.upgrade() else { return };
+            match list.filter(|_| driver.discovery.get() == address) {
+                Some(list) => driver.take_list(&list, None),
+                None => driver.list_failed(),
             }
         });
     }
 
     fn list_failed(&self) {
         let state = &mut *self.state.borrow_mut();
-        let version = state.index as u32;
+        let version = state.index.unwrap_or_default() as u32;
         self.handle(state, Happening::List(ListKind::Failed, version, Vec::new()));
     }
 }
--- a/tests/proxy/harness.rs
+++ b/tests/proxy/harness.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -147,6 +148,10 @@
                 asked.lock().unwrap().push(request.head.lines().next().unwrap().to_string());
                 let mut watches = watches.lock().unwrap();
                 if let Some(list) = present.lock().unwrap().as_ref() {
+                    if !request.head.contains("stream=1") {
+                        let _ = stream.write_all(ok(list).as_bytes());
+                        continue;
+                    }
                     let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                     let _ = stream.write_all(chunk(list).as_bytes());
                 }
@@ -215,6 +220,7 @@
 pub struct Proxy {
     pub address: SocketAddr,
     child: Child,
+    config: PathBuf,
 }
 
 impl Proxy {
@@ -229,8 +235,8 @@
         for _ in 0..10 {
             let (listener, address) = listen();
             drop(listener);
-            let child = spawn(line, config, address).spawn().expect("the proxy starts");
-            let mut proxy = Proxy { address, child };
+            let (mut command, config) = spawn(line, config, address);
+            let mut proxy = Proxy { address, child: command.spawn().expect("the proxy starts"), config };
             if proxy.comes_up() {
                 return proxy;
             }
@@ -256,8 +262,18 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the file of the configuration and has it read again.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("the configuration is written");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
 
     pub fn is_running(&mut self) -> bool {
@@ -278,7 +294,7 @@
 }
 
 /// A command that runs the proxy on a configuration, which lies in a file of its own.
-pub fn spawn(line: &str, config: &str, listen: SocketAddr) -> Command {
+pub fn spawn(line: &str, config: &str, listen: SocketAddr) -> (Command, PathBuf) {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
     let path = std::env::temp_dir().join(format!("dewrun-test-{}-{number}.json", std::process::id()));
@@ -286,7 +302,7 @@
     let mut command = Command::new("sh");
     command.args(["-c", line, env!("CARGO_BIN_EXE_dewrun")]);
     command.env("NODE_CONFIG", &path).env("NODE_LISTEN", listen.to_string()).stderr(Stdio::piped());
-    command
+    (command, path)
 }
 
 /// A request of a class, on its own connection, with what else is wanted in its head.
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -216,6 +216,38 @@
     assert_eq!(proxy.call(&ask("read", "k1", 8_000, "")).status(), 200);
 }
 
+#[test]
+fn a_reload_moves_the_watch_and_keeps_the_old_list_until_the_new_one_is_told() {
+    // SIGHUP once ended the program.
+    let (first, second) = (Backend::saying(OK), Backend::saying(OK));
+    let old = Discovery::start(Some(list(50, true, &[entry("b0", first.address, "ready")])));
+    let silent = Discovery::start(None);
+    let new = Discovery::start(Some(list(3, true, &[entry("b1", second.address, "ready")])));
+    let line = format!("NODE_DISCOVERY={} exec \"$0\"", old.address);
+    let mut proxy = Proxy::start_by(&line, &config(silent.address, &list(0, true, &[])));
+    let call = |proxy: &Proxy| proxy.call(&ask("read", "s1", 8_000, "")).status();
+    assert_eq!(call(&proxy), 200, "at the start the environment goes first");
+    proxy.reload("{ \"discovery\":");
+    thread::sleep(Duration::from_millis(200));
+    assert_eq!((call(&proxy), proxy.is_running()), (200, true), "a file that can't be read changes nothing");
+    proxy.reload(&config(silent.address, &list(0, true, &[])));
+    until("the new address is asked for the whole list", || !silent.asked.lock().unwrap().is_empty());
+    assert_eq!(silent.asked.lock().unwrap()[0], "GET /discovery/hosts HTTP/1.1");
+    assert_eq!(call(&proxy), 200, "the old list is kept");
+    assert_eq!(second.seen(), 0);
+    proxy.reload(&config(new.address, &list(0, true, &[])));
+    until("the new list is in use", || {
+        assert_eq!(call(&proxy), 200);
+        second.seen() > 0
+    });
+    until("the watch goes on from there", || {
+        new.asked.lock().unwrap().iter().any(|line| line.contains("stream=1&index=3"))
+    });
+    let seen = first.seen();
+    (0..10).for_each(|_| assert_eq!(call(&proxy), 200));
+    assert_eq!(first.seen(), seen, "what the new list does not name is gone");
+}
+
 #[test]
 fn an_orderly_end_answers_all_that_was_taken() {
     let backend = Backend::start(|n, stream| {
@@ -330,13 +362,13 @@
         (good[..40].to_string(), other, "EOF"),
     ];
     for (config, listen, names) in cases {
-        let output = spawn("exec \"$0\"", &config, listen).output().expect("it runs");
+        let output = spawn("exec \"$0\"", &config, listen).0.output().expect("it runs");
         let log = String::from_utf8(output.stderr).expect("text");
         assert!(!output.status.success());
         assert_eq!(log.lines().count(), 1, "{log}");
         assert!(log.to_lowercase().contains(&names.to_lowercase()), "{log}");
     }
-    let missing = spawn("unset NODE_CONFIG; exec \"$0\"", &good, other).output().expect("it runs");
+    let missing = spawn("unset NODE_CONFIG; exec \"$0\"", &good, other).0.output().expect("it runs");
     assert!(!missing.status.success());
     assert_eq!(missing.stderr, b"dewrun: NODE_CONFIG is not set\n");
     drop(taken);
