Serve callers on the connections they have for half of the time after SIGTERM

Ruled out: stale lists after SIGHUP (each copy held the whole new list within 40 ms) and slow restarts (a copy is back 4.4 s after its SIGTERM whenever it ended). To blame: STOP_IDLE in src/net/server.rs closed idle connections after 0.55 s and marked every answer `Connection: close` from the first moment, so all its callers crowded the one copy left (a tier of four servers in the midst of a release), and from 16.5 to 17.9 s, with both copies stopping, had nowhere to go.

Now connections are closed from half of the time on; the end comes 0.1 s later, well before SIGKILL may.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -34,12 +34,13 @@
 const CLOSE_GRACE: Duration = Duration::from_secs(2);
 /// The module answers at the deadline. If it has not so long after, the driver does.
 const OVERDUE: Duration = Duration::from_millis(10);
-/// After SIGTERM: connections still come for a while; then idle ones are closed; and what is open at the
-/// end is failed, before it could be killed unanswered: that is no sooner than the longest deadline, 3 s at
-/// most, and 0.7 s more.
-const STOP_IDLE: Duration = Duration::from_millis(550);
+/// After SIGTERM: connections still come for a while, so it ends no sooner. Callers are served on those they
+/// have for the first half of the time there is, as the other proxies may be down too; then connections are
+/// closed as they fall idle. What is open at the end is failed, before it could be killed unanswered: that is
+/// no sooner than the longest deadline, 3 s at most, and 0.7 s more.
+const STOP_LEAST: Duration = Duration::from_millis(550);
 const STOP_DEADLINE_MOST: f64 = 3_000.0;
-const STOP_MORE: f64 = 300.0;
+const STOP_MORE: f64 = 400.0;
 const STOP_LAST: Duration = Duration::from_millis(150);
 
 type Reply = Response<Full<Bytes>>;
@@ -75,7 +76,8 @@
     next: Cell<u64>,
     started: Instant,
     knows_some: bool,
-    stopping: Cell<bool>,
+    /// When a stopping proxy closes connections; `None` while it goes on.
+    closing_from: Cell<Option<Instant>>,
 }
 
 impl Server {
@@ -97,7 +99,7 @@
             next: Cell::new(0),
             started: Instant::now(),
             knows_some,
-            stopping: Cell::new(false),
+            closing_from: Cell::new(None),
         })
     }
 
@@ -147,15 +149,21 @@
         }
     }
 
+    fn is_closing(&self) -> bool {
+        self.closing_from.get().is_some_and(|from| Instant::now() >= from)
+    }
+
     /// The orderly end: returns when all that was taken is answered.
     pub async fn stop(&self) {
-        self.stopping.set(true);
         let told = Instant::now();
         let longest = self.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max).min(STOP_DEADLINE_MOST);
         let most = Duration::from_secs_f64((longest + STOP_MORE) / 1000.0);
-        sleep(STOP_IDLE).await;
+        self.closing_from.set(Some(told + most / 2));
+        sleep(STOP_LEAST).await;
         while !self.callers.borrow().is_empty() && told.elapsed() < most {
-            self.close_idle(Duration::ZERO);
+            if self.is_closing() {
+                self.close_idle(Duration::ZERO);
+            }
             sleep(Duration::from_millis(20)).await;
         }
         self.driver.close_all();
@@ -211,7 +219,7 @@
         };
         caller.busy.set(false);
         caller.used.set(Instant::now());
-        if self.stopping.get() {
+        if self.is_closing() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
