Hold against bad clients and bad backends; give limits one owner

To blame, and mended:

- server.rs: silence, an endless head and a trickling body were closed after 90 s, never and 10 s: now a whole request has 2.2 s, one clock for all three.
Accepting never stopped: callers now have a fixed share (limits.rs), in which a new one takes the place of the oldest that never brought a good request, then of the longest idle.
- hyper hides a Content-Length beside Transfer-Encoding, in either order, so the two can't be told apart from chunks alone: any Transfer-Encoding in a request is 400, and nothing is read behind any bad request.
- An id that is open already is 409.
A body's room, a quarter of the memory for all, is taken before it is read.
Request-Timeout-Ms is capped by the class's; hints and reports that can't be true are passed over.
- upstream.rs: any failed attempt closed all idle connections to its backend; now silence alone does, and only those that carried nothing since.
A 4xx was told as Error, tried elsewhere and held against health: now it goes to the caller and says nothing of the backend.
An answer counts as whole by exactly one length or by chunks that end, and has 0.5 s for its body.
A connection rests 2 ms before it is used again, so that what comes right behind an answer is seen, and is kept only for the same backend, ready, at the same address.
- discovery.rs: the directory kept every backend ever named and copied itself at each list: gone ones are forgotten.
Idle callers are closed after 5 s instead of 90.

Ruled out by trace: good answers without a length or with a short one; there were none.

--- a/src/main.rs
+++ b/src/main.rs
@@ -7,12 +7,14 @@
     pub mod discovery;
     pub mod driver;
     pub mod io;
+    pub mod limits;
     pub mod server;
     pub mod upstream;
 }
 
 use net::config::{self, Config};
 use net::driver::Driver;
+use net::limits::Limits;
 use net::server::Server;
 use net::upstream::Upstream;
 use std::process::ExitCode;
@@ -22,9 +24,6 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 
-/// Descriptors kept for the listener, discovery, the runtime and the standard streams.
-const RESERVED_SOCKETS: usize = 32;
-
 fn environment(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
@@ -35,12 +34,11 @@
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let settings = config.settings.clone();
     let allowed = &settings.allowed;
-    // Each open request holds a caller's connection and an upstream one.
-    let side = config.sockets.saturating_sub(RESERVED_SOCKETS).max(2) / 2;
+    let limits = Limits::new(config.sockets, config.memory_mb);
     let (connect_ms, idle_ms) = (allowed.connect_timeout_ms, allowed.idle_close_ms);
-    let upstream = Rc::new(Upstream::new(side, connect_ms, idle_ms, settings.report.clone()));
+    let upstream = Rc::new(Upstream::new(limits.clone(), connect_ms, idle_ms, settings.report.clone()));
     let knows_some = !config.known.endpoints.is_empty();
-    let driver = Driver::start(config, upstream.clone(), side);
+    let driver = Driver::start(config, upstream.clone(), limits.callers.most());
     let followed = driver.clone();
     spawn_local(async move {
         while reload.recv().await.is_some() {
@@ -50,7 +48,7 @@
             }
         }
     });
-    let server = Server::new(driver, upstream, &settings, knows_some, side);
+    let server = Server::new(driver, upstream, limits, &settings, knows_some);
     spawn_local(server.clone().accept(listener));
     spawn_local(server.clone().tidy());
     term.recv().await;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -7,8 +7,9 @@
 use umberridge::api::Settings;
 use umberridge::wire;
 
-/// Descriptors a process may hold where the configuration does not say.
+/// Descriptors a process may hold, and its memory, where the configuration does not say.
 const USUAL_SOCKETS: usize = 1_024;
+const USUAL_MEMORY_MB: usize = 192;
 
 /// All that a proxy knows at its start.
 pub struct Config {
@@ -20,6 +21,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may hold.
+    pub memory_mb: usize,
     /// The backends as this proxy had them last.
     pub known: List,
     /// The module's settings.
@@ -42,6 +45,7 @@
 #[serde(default)]
 struct RawLimits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 /// Reads the file that `NODE_CONFIG` names. An address in the environment goes before the file's.
@@ -76,6 +80,7 @@
         discovery: address("NODE_DISCOVERY", "discovery", raw.discovery)?,
         seed: seed.map_err(|_| format!("seed: {:?} is not a number in hexadecimal", raw.seed))?,
         sockets: raw.limits.sockets.unwrap_or(USUAL_SOCKETS),
+        memory_mb: raw.limits.memory_mb.unwrap_or(USUAL_MEMORY_MB),
         known: raw.known,
         settings: wire::settings(raw.settings.to_string().as_bytes())?,
     })
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{header::HOST, Request, StatusCode};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -102,7 +102,7 @@
         }
     }
 
-    /// The id of a name. An id, once given, is kept: a backend may come back.
+    /// The id of a name. A backend that comes back after it was forgotten has the same: the hash is fixed.
     fn id(&mut self, name: &str) -> BackendId {
         if let Some(id) = self.ids.get(name) {
             return *id;
@@ -121,9 +121,15 @@
     /// Takes a list in. Gives it in the module's terms, and the backends whose idle connections are of no
     /// more use: they drain, are gone, have restarted or are elsewhere.
     pub fn apply(&mut self, list: &List) -> (Vec<BackendInfo>, Vec<BackendId>) {
-        let before = self.places.clone();
+        let mut stale = Vec::new();
         if list.snapshot {
-            self.places.values_mut().for_each(|place| place.state = BackendState::Gone);
+            let named: FxHashSet<&str> = list.endpoints.iter().map(|e| e.name.as_str()).collect();
+            for (id, place) in &mut self.places {
+                if place.state != BackendState::Gone && !named.contains(self.names[id].as_str()) {
+                    place.state = BackendState::Gone;
+                    stale.push(*id);
+                }
+            }
         }
         let mut infos = Vec::with_capacity(list.endpoints.len());
         for endpoint in &list.endpoints {
@@ -134,7 +140,10 @@
                 Status::Gone => BackendState::Gone,
             };
             let started_at = (endpoint.since_ms > 0.0).then_some(endpoint.since_ms);
-            self.places.insert(id, Place { address: endpoint.address, state, started_at });
+            let now = Place { address: endpoint.address, state, started_at };
+            if self.places.insert(id, now).is_some_and(|before| before != now) {
+                stale.push(id);
+            }
             let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
             infos.push(BackendInfo {
                 id,
@@ -146,11 +155,17 @@
                 started_at,
             });
         }
-        let changed = before.iter().filter(|(id, place)| self.places[*id] != **place);
-        let stale = changed.map(|(id, _)| *id).collect();
         (infos, stale)
     }
 
+    /// Forgets the backends that are gone, but for those still in use. Guards against growth: in a long life
+    /// all backends are replaced, again and again.
+    pub fn forget_gone(&mut self, in_use: impl Fn(BackendId) -> bool) {
+        self.places.retain(|id, place| place.state != BackendState::Gone || in_use(*id));
+        self.names.retain(|id, _| self.places.contains_key(id));
+        self.ids.retain(|_, id| self.places.contains_key(id));
+    }
+
     /// Where a backend is, if any list has named it.
     pub fn place(&self, id: BackendId) -> Option<Place> {
         self.places.get(&id).copied()
@@ -321,6 +336,20 @@
         assert_eq!((infos[0].id, stale), (id, vec![id]));
     }
 
+    #[test]
+    fn gone_backends_are_forgotten_once_out_of_use() {
+        let mut directory = Directory::default();
+        for n in 0..100 {
+            let name = format!("s-{n}");
+            let (infos, _) = directory.apply(&list(true, &[(&name, "127.0.0.1:1", "ready")]));
+            directory.forget_gone(|id| id != infos[0].id && n % 2 == 0);
+        }
+        assert_eq!((directory.places.len(), directory.names.len(), directory.ids.len()), (1, 1, 1));
+        directory.apply(&list(false, &[("s-99", "127.0.0.1:1", "gone")]));
+        directory.forget_gone(|_| true);
+        assert_eq!(directory.places.len(), 1, "an attempt is still out");
+    }
+
     #[test]
     fn two_names_with_one_hash_get_two_ids() {
         let mut directory = Directory::default();
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -7,7 +7,8 @@
 use super::discovery::{self, Directory, List};
 use super::io::log;
 use super::upstream::{Answer, Ended, Inbound, Upstream};
-use rustc_hash::FxHashMap;
+use hyper::StatusCode;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -29,6 +30,8 @@
     Refused(Millis),
     /// Promises nothing.
     Failed,
+    /// A backend found fault with the request itself, and would again.
+    Rejected(StatusCode),
 }
 
 /// What a request is, in the module's terms.
@@ -68,6 +71,7 @@
 
 struct Out {
     attempt: u8,
+    backend: BackendId,
     cancel: Option<oneshot::Sender<()>>,
 }
 
@@ -164,6 +168,9 @@
         let state = &mut *self.state.borrow_mut();
         let (infos, stale) = state.directory.apply(list);
         stale.into_iter().for_each(|backend| self.upstream.close_idle(backend));
+        let used: FxHashSet<BackendId> =
+            state.open.values().filter_map(|o| o.out.as_ref()).map(|o| o.backend).collect();
+        state.directory.forget_gone(|backend| used.contains(&backend));
         state.index = Some(list.index);
         if kind.is_none() {
             self.listed.set(true);
@@ -225,9 +232,14 @@
         let state = &mut *self.state.borrow_mut();
         let Some(open) = state.open.get_mut(&request) else { return };
         let Some(out) = open.out.take() else { return };
-        if let Some(answer) = ended.answer {
+        let last = match (ended.answer, ended.rejected) {
+            (Some(answer), _) => Some(Final::Served(answer)),
+            (None, Some(status)) => Some(Final::Rejected(status)),
+            (None, None) => None,
+        };
+        if let Some(last) = last {
             if let Some(sender) = open.answer.take() {
-                let _ = sender.send(Final::Served(answer));
+                let _ = sender.send(last);
             }
         }
         let event = Event::Outcome {
@@ -333,24 +345,27 @@
             return;
         };
         let (cancel, cancelled) = oneshot::channel();
-        open.out = Some(Out { attempt: open.attempts as u8, cancel: Some(cancel) });
+        open.out = Some(Out { attempt: open.attempts as u8, backend, cancel: Some(cancel) });
         open.attempts += 1;
         let sent = Instant::now();
-        let until = match timeout_ms {
-            0.0 => open.deadline,
-            ms => open.deadline.min(sent + span(ms)),
-        };
+        let deadline = open.deadline;
+        let most = if timeout_ms == 0.0 { span(SPAN_MOST) } else { span(timeout_ms) };
         let (me, inbound) = (self.me.clone(), open.inbound.clone());
         spawn_local(async move {
             let Some(driver) = me.upgrade() else { return };
-            // All goes by the list as it is when the first byte is about to leave.
+            // All goes by the list as it is when the first byte is about to leave, or when the connection would
+            // go back to the pool: by then the backend may drain, or another may stand at its address.
+            let still_there = || {
+                let state = driver.state.borrow();
+                state.directory.place(backend) == Some(place) && place.state == BackendState::Ready
+            };
             let may_write = || {
                 let state = driver.state.borrow();
-                state.directory.place(backend).is_some_and(|p| p.state == BackendState::Ready)
-                    && state.open.get(&request).is_some_and(|open| open.answer.is_some())
+                state.open.get(&request).is_some_and(|open| open.answer.is_some())
             };
             let upstream = driver.upstream.clone();
-            let attempt = upstream.attempt(backend, place.address, &inbound, until, may_write);
+            let attempt =
+                upstream.attempt(backend, place.address, &inbound, (deadline, most), may_write, still_there);
             let ended = tokio::select! {
                 biased;
                 ended = attempt => ended,
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -57,6 +57,7 @@
 pub struct Wire {
     stream: TcpStream,
     last_read: Cell<Instant>,
+    begun: Cell<Option<Instant>>,
     written: RefCell<Written>,
 }
 
@@ -66,7 +67,7 @@
         // Fails only on a stream that is already dead, which the first read tells.
         let _ = stream.set_nodelay(true);
         let last_read = Cell::new(Instant::now());
-        Rc::new(Wire { stream, last_read, written: RefCell::default() })
+        Rc::new(Wire { stream, last_read, begun: Cell::new(None), written: RefCell::default() })
     }
 
     /// When the last bytes were read.
@@ -74,6 +75,16 @@
         self.last_read.get()
     }
 
+    /// When the first bytes of the message that is being read came; `None` between two messages.
+    pub fn begun(&self) -> Option<Instant> {
+        self.begun.get()
+    }
+
+    /// The message that was being read is done with.
+    pub fn message_over(&self) {
+        self.begun.set(None);
+    }
+
     /// A request with a body of so many bytes is about to be written.
     pub fn begin_request(&self, body: usize) {
         *self.written.borrow_mut() = Written { body_left: body, ..Written::default() };
@@ -110,7 +121,9 @@
             ready!(self.0.stream.poll_read_ready(cx))?;
             match self.0.stream.try_read(&mut chunk[..room]) {
                 Ok(n) => {
-                    self.0.last_read.set(Instant::now());
+                    let now = Instant::now();
+                    self.0.last_read.set(now);
+                    self.0.begun.set(self.0.begun.get().or(Some(now)));
                     buf.put_slice(&chunk[..n]);
                     return Poll::Ready(Ok(()));
                 }
--- /dev/null
+++ b/src/net/limits.rs
@@ -0,0 +1,111 @@
+//! What the process may hold at once: descriptors, in a fixed share for either side, and the bytes of bodies.
+//! Both sides ask here, so that what one takes is not missing at the other.
+
+use bytes::Bytes;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Descriptors kept for the listener, discovery, the runtime and the standard streams.
+const RESERVED_SOCKETS: usize = 32;
+/// Part of the memory that bodies and answers may take. On its way each byte is held up to three times: as it
+/// was read, as it is passed on, and in the buffer that is written.
+const BODY_PART: usize = 4;
+/// The largest body on either side.
+pub const BODY_MOST: usize = 64 * 1024;
+/// The most that is read ahead on one connection, so also the largest head. A head needs a few KiB.
+pub const READ_AHEAD: usize = 16 * 1024;
+/// Longest wait for a caller's whole request: from connecting, or on a used connection from its first byte.
+pub const REQUEST_TIME: Duration = Duration::from_millis(2_200);
+/// A caller's connection that has carried nothing for this long is closed.
+pub const CALLER_IDLE: Duration = Duration::from_secs(5);
+/// Longest wait for the rest of an answer whose head has come.
+pub const ANSWER_TIME: Duration = Duration::from_millis(500);
+
+/// So much of something as may be held at once.
+pub struct Share {
+    most: usize,
+    held: Cell<usize>,
+}
+
+impl Share {
+    fn new(most: usize) -> Rc<Share> {
+        Rc::new(Share { most, held: Cell::new(0) })
+    }
+
+    /// Takes an amount until the result is dropped; `None` if so much is not left.
+    pub fn take(self: &Rc<Share>, amount: usize) -> Option<Taken> {
+        let held = self.held.get().checked_add(amount).filter(|held| *held <= self.most)?;
+        self.held.set(held);
+        Some(Taken { share: self.clone(), amount })
+    }
+
+    /// How much there is in all.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+}
+
+/// A part of a [`Share`], given back when dropped.
+pub struct Taken {
+    share: Rc<Share>,
+    amount: usize,
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.share.held.set(self.share.held.get() - self.amount);
+    }
+}
+
+/// A whole body with the room that it takes.
+pub struct Body {
+    /// Its bytes.
+    pub bytes: Bytes,
+    _room: Taken,
+}
+
+impl Body {
+    /// A body that takes so much room.
+    pub fn new(bytes: Bytes, room: Taken) -> Body {
+        Body { bytes, _room: room }
+    }
+}
+
+/// The limits of this process.
+pub struct Limits {
+    /// Callers' connections.
+    pub callers: Rc<Share>,
+    /// Connections to backends.
+    pub upstream: Rc<Share>,
+    /// Bytes of bodies, from callers and from backends.
+    pub bytes: Rc<Share>,
+}
+
+impl Limits {
+    /// Shares out what the platform gives. Each open request holds a caller's connection and an upstream one.
+    pub fn new(sockets: usize, memory_mb: usize) -> Rc<Limits> {
+        let side = sockets.saturating_sub(RESERVED_SOCKETS).max(2) / 2;
+        let bytes = memory_mb.saturating_mul(1 << 20) / BODY_PART;
+        Rc::new(Limits {
+            callers: Share::new(side),
+            upstream: Share::new(side),
+            bytes: Share::new(bytes.max(2 * BODY_MOST)),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_share_gives_no_more_than_it_has_and_takes_back_what_is_dropped() {
+        let share = Share::new(10);
+        let first = share.take(7).expect("there is room");
+        assert!(share.take(4).is_none() && share.take(usize::MAX).is_none());
+        let _second = share.take(3).expect("there is room");
+        drop(first);
+        assert!(share.take(7).is_some());
+    }
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,33 +3,34 @@
 use super::discovery::hash;
 use super::driver::{Asked, Driver, Final};
 use super::io::{out_of_descriptors, Io, Wire};
-use super::upstream::{Inbound, Upstream, BODY_MOST, TIMEOUT_HEADER};
+use super::limits::{self, Limits, Taken, BODY_MOST, CALLER_IDLE, READ_AHEAD, REQUEST_TIME};
+use super::upstream::{Inbound, Upstream, TIMEOUT_HEADER};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{sleep, timeout_at};
 use umberridge::api::{Class, Effect, Settings, Tenant};
 
 /// How long `/up` waits for discovery before it makes do with the known list, or with none at all.
 const UP_KNOWN: Duration = Duration::from_millis(1_000);
 const UP_ANYWAY: Duration = Duration::from_millis(4_000);
-/// Longest wait for the rest of a body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// A caller's connection that has carried nothing for this long is closed.
-const CALLER_IDLE: Duration = Duration::from_secs(90);
+/// How often connections are looked after.
+const TIDY: Duration = Duration::from_millis(250);
+/// When a caller that there is no room for may come back.
+const NO_ROOM_MS: f64 = 500.0;
 /// How long a connection that is to close may take over what it has begun.
 const CLOSE_GRACE: Duration = Duration::from_secs(2);
 /// The module answers at the deadline. If it has not so long after, the driver does.
@@ -43,24 +44,51 @@
 const STOP_MORE: f64 = 400.0;
 const STOP_LAST: Duration = Duration::from_millis(150);
 
+const REQUEST_ID: &str = "request-id";
+
 type Reply = Response<Full<Bytes>>;
 
+/// How far the end of a caller's connection has come.
+#[derive(Clone, Copy, PartialEq)]
+enum Closing {
+    No,
+    /// Once what it has begun is done.
+    InOrder,
+    /// At once: nothing was taken from it that is still open.
+    Now,
+}
+
 struct Caller {
     wire: Rc<Wire>,
-    busy: Cell<bool>,
+    /// A whole request of its was taken and has no answer yet.
+    taken: Cell<bool>,
+    /// It has brought a good request before.
+    proven: Cell<bool>,
+    /// When it connected, or had its last answer.
     used: Cell<Instant>,
-    closing: Cell<bool>,
+    /// Its last answer, which may still wait to be written.
+    last: RefCell<Option<limits::Body>>,
+    closing: Cell<Closing>,
     close: Notify,
+    _counted: Taken,
 }
 
 impl Caller {
     /// Whether its connection can be closed without harm: nothing of a request was read or waits to be.
     fn is_idle(&self) -> bool {
-        !self.busy.get() && !self.closing.get() && self.wire.is_quiet()
+        let between = !self.taken.get() && self.wire.begun().is_none();
+        between && self.closing.get() == Closing::No && self.wire.is_quiet()
+    }
+
+    /// Whether it has kept the proxy waiting for a whole request for too long: it says nothing, its head does
+    /// not end, or its body trickles. Between two requests a used connection may rest.
+    fn is_overdue(&self) -> bool {
+        let from = if self.proven.get() { self.wire.begun() } else { Some(self.used.get()) };
+        !self.taken.get() && from.is_some_and(|from| from.elapsed() >= REQUEST_TIME)
     }
 
-    fn close(&self) {
-        self.closing.set(true);
+    fn close(&self, how: Closing) {
+        self.closing.set(how);
         self.close.notify_one();
     }
 }
@@ -72,7 +100,9 @@
     classes: Vec<Class>,
     tenants: Vec<Tenant>,
     callers: RefCell<FxHashMap<u64, Rc<Caller>>>,
-    callers_most: usize,
+    /// The ids of the requests that are open here.
+    open_ids: Rc<RefCell<FxHashSet<String>>>,
+    limits: Rc<Limits>,
     next: Cell<u64>,
     started: Instant,
     knows_some: bool,
@@ -81,13 +111,13 @@
 }
 
 impl Server {
-    /// A server with room for so many callers' connections before it sheds idle ones.
+    /// A server for the callers of a deployment.
     pub fn new(
         driver: Rc<Driver>,
         upstream: Rc<Upstream>,
+        limits: Rc<Limits>,
         settings: &Settings,
         knows_some: bool,
-        callers_most: usize,
     ) -> Rc<Server> {
         Rc::new(Server {
             driver,
@@ -95,7 +125,8 @@
             classes: settings.classes.clone(),
             tenants: settings.tenants.clone(),
             callers: RefCell::default(),
-            callers_most,
+            open_ids: Rc::default(),
+            limits,
             next: Cell::new(0),
             started: Instant::now(),
             knows_some,
@@ -103,15 +134,22 @@
         })
     }
 
-    /// Accepts for ever. Goes on while stopping: what the kernel has taken in counts as taken.
+    /// Accepts for ever. Goes on while stopping: what the kernel has taken in counts as taken. Beyond the
+    /// callers' share a connection is taken only in place of another, so that a flood leaves the sockets that
+    /// attempts need alone.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    if self.callers.borrow().len() >= self.callers_most {
-                        self.shed();
+                    let mut counted = self.limits.callers.take(1);
+                    if counted.is_none() && self.shed() {
+                        // The one that gives way is closed in its own task.
+                        yield_now().await;
+                        counted = self.limits.callers.take(1);
+                    }
+                    if let Some(counted) = counted {
+                        spawn_local(self.clone().connection(stream, counted));
                     }
-                    spawn_local(self.clone().connection(stream));
                 }
                 // Guards against an end of the loop: out of descriptors, idle connections give way.
                 Err(e) if out_of_descriptors(&e) => {
@@ -124,26 +162,43 @@
         }
     }
 
-    /// Closes the connection that has been idle longest; false if all are busy.
+    /// Closes the oldest connection that never brought a good request, or else the one that has been idle
+    /// longest; false if all are busy.
     fn shed(&self) -> bool {
         let callers = self.callers.borrow();
+        if callers.values().any(|c| c.closing.get() == Closing::Now) {
+            // Room is being made: no other need give way for it.
+            return true;
+        }
+        let unproven = callers.values().filter(|c| !c.proven.get() && !c.taken.get());
+        if let Some(oldest) = unproven.min_by_key(|c| c.used.get()) {
+            oldest.close(Closing::Now);
+            return true;
+        }
         let oldest = callers.values().filter(|c| c.is_idle()).min_by_key(|c| c.used.get());
-        oldest.inspect(|caller| caller.close()).is_some()
+        oldest.inspect(|caller| caller.close(Closing::InOrder)).is_some()
     }
 
     /// Closes connections idle since before `limit`, but for those with a request still to be read.
     fn close_idle(&self, limit: Duration) {
         for caller in self.callers.borrow().values() {
             if caller.used.get().elapsed() >= limit && caller.is_idle() {
-                caller.close();
+                caller.close(Closing::InOrder);
             }
         }
     }
 
-    /// Looks after idle connections on both sides.
+    fn close_overdue(&self) {
+        for caller in self.callers.borrow().values().filter(|c| c.is_overdue()) {
+            caller.close(Closing::Now);
+        }
+    }
+
+    /// Looks after connections on both sides.
     pub async fn tidy(self: Rc<Self>) {
         loop {
-            sleep(Duration::from_secs(1)).await;
+            sleep(TIDY).await;
+            self.close_overdue();
             self.close_idle(CALLER_IDLE);
             self.upstream.reap();
         }
@@ -168,21 +223,24 @@
         }
         self.driver.close_all();
         let last = Instant::now();
-        while self.callers.borrow().values().any(|c| c.busy.get()) && last.elapsed() < STOP_LAST {
+        while self.callers.borrow().values().any(|c| c.taken.get()) && last.elapsed() < STOP_LAST {
             sleep(Duration::from_millis(5)).await;
         }
         // Time for the last answers to be written.
         sleep(Duration::from_millis(20)).await;
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, counted: Taken) {
         let wire = Wire::new(stream);
         let caller = Rc::new(Caller {
             wire: wire.clone(),
-            busy: Cell::new(false),
+            taken: Cell::new(false),
+            proven: Cell::new(false),
             used: Cell::new(Instant::now()),
-            closing: Cell::new(false),
+            last: RefCell::default(),
+            closing: Cell::new(Closing::No),
             close: Notify::new(),
+            _counted: counted,
         });
         let number = self.next.replace(self.next.get() + 1);
         self.callers.borrow_mut().insert(number, caller.clone());
@@ -190,7 +248,7 @@
             let (server, caller) = (self.clone(), caller.clone());
             async move { Ok::<_, Infallible>(server.serve(&caller, request).await) }
         });
-        let serving = http1::Builder::new().max_buf_size(BODY_MOST).serve_connection(Io(wire), service);
+        let serving = http1::Builder::new().max_buf_size(READ_AHEAD).serve_connection(Io(wire), service);
         tokio::pin!(serving);
         loop {
             tokio::select! {
@@ -198,11 +256,14 @@
                 // An error here is the caller's leaving or nonsense instead of HTTP; both end with the
                 // connection, and a request that was open with its guard.
                 _ = &mut serving => break,
-                () = caller.close.notified() => serving.as_mut().graceful_shutdown(),
+                () = caller.close.notified() => match caller.closing.get() {
+                    Closing::Now if !caller.taken.get() => break,
+                    _ => serving.as_mut().graceful_shutdown(),
+                },
                 // Guards against a head that never ends, which a graceful end would await for ever. One that
                 // did end meanwhile is a request taken: it is served.
-                () = sleep(CLOSE_GRACE), if caller.closing.get() => {
-                    if !caller.busy.get() {
+                () = sleep(CLOSE_GRACE), if caller.closing.get() != Closing::No => {
+                    if !caller.taken.get() {
                         break;
                     }
                 }
@@ -212,36 +273,57 @@
     }
 
     async fn serve(&self, caller: &Caller, request: Request<Incoming>) -> Reply {
-        caller.busy.set(true);
-        let mut reply = match self.answer(caller, request).await {
-            Ok(reply) => reply,
-            Err((status, why)) => plain(status, why),
-        };
-        caller.busy.set(false);
+        let answered = self.answer(caller, request).await;
+        caller.taken.set(false);
         caller.used.set(Instant::now());
-        if self.is_closing() {
+        caller.wire.message_over();
+        // What follows a bad request on its connection may be part of it, so nothing is read from there.
+        let close = answered.is_err() || self.is_closing();
+        let mut reply = answered.unwrap_or_else(|(status, why)| plain(status, why));
+        if close {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        if reply.status() != StatusCode::OK {
+            // Guards the others against one that asks again as soon as it is turned away.
+            yield_now().await;
+        }
         reply
     }
 
     async fn answer(&self, caller: &Caller, request: Request<Incoming>) -> Result<Reply, Bad> {
         let (head, body) = request.into_parts();
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            // hyper hides a Content-Length that stands beside it, and a second request may hide in the body.
+            return Err((StatusCode::BAD_REQUEST, "a request's length is told by Content-Length alone"));
+        }
         if head.uri.path() == "/up" {
+            caller.proven.set(true);
             return Ok(self.up());
         }
         let (mut asked, timeout_ms) = self.read_head(&head)?;
         let path = head.uri.path_and_query().ok_or((StatusCode::BAD_REQUEST, "no path"))?.clone();
-        let body = read_body(body).await?;
-        if head.method == Method::GET && !body.is_empty() {
+        let length = body.size_hint().upper().unwrap_or(u64::MAX);
+        if length > BODY_MOST as u64 {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+        }
+        let Some(room) = self.limits.bytes.take(length as usize) else {
+            return Ok(refusal(NO_ROOM_MS));
+        };
+        let body = body.collect().await.map_err(|_| (StatusCode::BAD_REQUEST, "the body is cut short"))?;
+        let body = limits::Body::new(body.to_bytes(), room);
+        if head.method == Method::GET && !body.bytes.is_empty() {
             return Err((StatusCode::BAD_REQUEST, "a GET has no body"));
         }
         // The time runs from the request's last byte, which was the last thing read.
+        let id = single(&head.headers, REQUEST_ID).unwrap_or_default();
+        let _open = OpenId::new(&self.open_ids, id).ok_or((StatusCode::CONFLICT, "the id is in use"))?;
+        caller.taken.set(true);
+        caller.proven.set(true);
         asked.deadline = caller.wire.last_read() + Duration::from_millis(timeout_ms.into());
         let deadline = asked.deadline;
         let inbound = Inbound { method: head.method, path, headers: head.headers, body };
         let Some((guard, mut answer)) = self.driver.request(asked, inbound) else {
-            return Ok(refusal(0.0));
+            return Ok(refusal(NO_ROOM_MS));
         };
         let answer = match timeout_at((deadline + OVERDUE).into(), &mut answer).await {
             Ok(answer) => answer,
@@ -252,13 +334,15 @@
         };
         Ok(match answer {
             Ok(Final::Served(answer)) => {
-                let mut reply = Response::new(Full::new(answer.body));
+                let mut reply = Response::new(Full::new(answer.body.bytes.clone()));
+                caller.last.replace(Some(answer.body));
                 if let Some(kind) = answer.headers.get(CONTENT_TYPE) {
                     reply.headers_mut().insert(CONTENT_TYPE, kind.clone());
                 }
                 reply
             }
             Ok(Final::Refused(after_ms)) => refusal(after_ms),
+            Ok(Final::Rejected(status)) => return Err((status, "a backend found fault with it")),
             Ok(Final::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
         })
     }
@@ -275,7 +359,7 @@
     /// Checks all that comes before the body.
     fn read_head(&self, head: &Parts) -> Result<(Asked, u32), Bad> {
         let bad = |why| (StatusCode::BAD_REQUEST, why);
-        let id = single(&head.headers, "request-id").ok_or(bad("no single Request-Id"))?;
+        let id = single(&head.headers, REQUEST_ID).ok_or(bad("no single Request-Id"))?;
         if id.is_empty() || id.len() > 128 || !id.bytes().all(|b| b.is_ascii_graphic()) {
             return Err(bad("malformed Request-Id"));
         }
@@ -290,7 +374,10 @@
         };
         let text =
             single(&head.headers, TIMEOUT_HEADER.as_str()).filter(|t| t.bytes().all(|b| b.is_ascii_digit()));
-        let timeout_ms = text.and_then(|t| t.parse().ok()).ok_or(bad("no usable Request-Timeout-Ms"))?;
+        let timeout_ms: u32 = text.and_then(|t| t.parse().ok()).ok_or(bad("no usable Request-Timeout-Ms"))?;
+        // No client waits longer than its class's, whatever it says.
+        let most = Some(self.classes[class].deadline_ms).filter(|most| *most >= 1.0).unwrap_or(f64::MAX);
+        let timeout_ms = timeout_ms.min(most as u32);
         let keys = head.headers.get_all("idempotency-key").iter().count();
         let (method, needed) = match self.classes[class].effect {
             Effect::Repeatable => (Method::GET, None),
@@ -310,6 +397,7 @@
             key: key(head.uri.path()),
             hint_ms: single(&head.headers, "work-hint")
                 .and_then(|t| t.parse::<f64>().ok())
+                .filter(|us| us.is_finite() && *us >= 0.0)
                 .map(|us| us / 1000.0),
             repeat: single(&head.headers, "client-retry") == Some("1"),
             write: info.split(',').any(|part| part.trim() == "write=1"),
@@ -334,16 +422,22 @@
     Some(u64::from_str_radix(last, 16).unwrap_or_else(|_| hash(last.as_bytes())))
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, Bad> {
-    const TOO_LARGE: Bad = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-    if body.size_hint().lower() > BODY_MOST as u64 {
-        return Err(TOO_LARGE);
+/// Keeps the id of an open request; no second request may have it meanwhile.
+struct OpenId {
+    ids: Rc<RefCell<FxHashSet<String>>>,
+    id: String,
+}
+
+impl OpenId {
+    fn new(ids: &Rc<RefCell<FxHashSet<String>>>, id: &str) -> Option<OpenId> {
+        let fresh = ids.borrow_mut().insert(id.to_string());
+        fresh.then(|| OpenId { ids: ids.clone(), id: id.to_string() })
     }
-    match timeout(BODY_TIMEOUT, Limited::new(body, BODY_MOST).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(TOO_LARGE),
-        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "the body is cut short")),
-        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "the body does not come")),
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
     }
 }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,14 +1,15 @@
 //! Attempts at backends, and the pool of connections to them.
 
 use super::io::{out_of_descriptors, Io, Wire};
+use super::limits::{Body, Limits, Taken, ANSWER_TIME, BODY_MOST, READ_AHEAD};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{handshake, Connection, SendRequest};
+use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{header, Method, Request, StatusCode, Uri};
 use rustc_hash::FxHashMap;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -16,11 +17,9 @@
 use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout, timeout_at};
 use umberridge::api::{BackendId, Outcome, Report, ReportField};
 
-/// The largest body on either side.
-pub const BODY_MOST: usize = 64 * 1024;
 /// Headers that speak of one connection and stay on it, and those that are written anew.
 const OWN_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
@@ -32,6 +31,9 @@
     header::CONTENT_LENGTH,
     header::EXPECT,
 ];
+/// How long a connection rests after an answer: what comes right behind one must be seen before the connection
+/// is used again, or it would be taken for the next answer.
+const REST: Duration = Duration::from_millis(2);
 /// How long a caller waits.
 pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("request-timeout-ms");
 const NOT_STARTED: HeaderName = HeaderName::from_static("not-started");
@@ -46,7 +48,7 @@
     /// Its headers.
     pub headers: HeaderMap,
     /// Its whole body.
-    pub body: Bytes,
+    pub body: Body,
 }
 
 /// A whole answer.
@@ -54,7 +56,7 @@
     /// Its headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Body,
 }
 
 /// How an attempt ended.
@@ -67,28 +69,14 @@
     pub report: Report,
     /// The answer, for [`Outcome::Ok`] alone.
     pub answer: Option<Answer>,
+    /// The status of an answer that speaks of the request and not of the backend.
+    pub rejected: Option<StatusCode>,
 }
 
 impl Ended {
     /// An end without an answer.
     pub fn now(outcome: Outcome) -> Ended {
-        Ended { outcome, at: Instant::now(), report: Report::default(), answer: None }
-    }
-}
-
-/// Counts one open connection for as long as it lives.
-struct Counted(Rc<Cell<usize>>);
-
-impl Counted {
-    fn new(count: &Rc<Cell<usize>>) -> Counted {
-        count.set(count.get() + 1);
-        Counted(count.clone())
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        Ended { outcome, at: Instant::now(), report: Report::default(), answer: None, rejected: None }
     }
 }
 
@@ -98,7 +86,7 @@
     sender: SendRequest<Full<Bytes>>,
     protocol: Pin<Box<Connection<Io, Full<Bytes>>>>,
     wire: Rc<Wire>,
-    _counted: Counted,
+    _counted: Taken,
 }
 
 impl Conn {
@@ -108,12 +96,24 @@
         open && self.sender.is_ready() && self.wire.is_quiet()
     }
 
-    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Answer), ()> {
+    /// One request and its answer. No answer, if it is not whole by its own word, or larger than there is room
+    /// for; an answer without a body that can be served is complete with its head.
+    async fn exchange(&mut self, request: Request<Full<Bytes>>, limits: &Limits) -> Result<Exchanged, ()> {
         let answer = async {
             let response = self.sender.send_request(request).await.map_err(drop)?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, BODY_MOST).collect().await.map_err(drop)?.to_bytes();
-            Ok((head.status, Answer { headers: head.headers, body }))
+            let length = length(&head.headers);
+            let read = async {
+                let length = length.filter(|length| *length <= BODY_MOST).ok_or(())?;
+                let room = limits.bytes.take(length).ok_or(())?;
+                let body = timeout(ANSWER_TIME, Limited::new(body, BODY_MOST).collect()).await;
+                Ok(Body::new(body.map_err(drop)?.map_err(drop)?.to_bytes(), room))
+            };
+            let body: Result<_, ()> = read.await;
+            match body {
+                Err(()) if head.status == StatusCode::OK => Err(()),
+                body => Ok(Exchanged { status: head.status, headers: head.headers, body: body.ok() }),
+            }
         };
         tokio::pin!(answer);
         tokio::select! {
@@ -125,30 +125,41 @@
     }
 }
 
+/// What came back for one request.
+struct Exchanged {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Option<Body>,
+}
+
 struct Idle {
     conn: Conn,
+    address: SocketAddr,
     since: Instant,
 }
 
 /// The connections to all backends.
 pub struct Upstream {
     idle: RefCell<FxHashMap<BackendId, Vec<Idle>>>,
-    open: Rc<Cell<usize>>,
-    most: usize,
+    limits: Rc<Limits>,
     connect_timeout: Duration,
     idle_most: Duration,
     fields: Vec<ReportField>,
 }
 
 impl Upstream {
-    /// A pool that holds at most so many connections. Idle ones are dropped at half of the time at which
+    /// A pool that holds its share of connections. Idle ones are dropped at half of the time at which
     /// backends close them: a request that crosses such a close would be lost.
-    pub fn new(most: usize, connect_ms: f64, idle_close_ms: f64, fields: Vec<ReportField>) -> Upstream {
+    pub fn new(
+        limits: Rc<Limits>,
+        connect_ms: f64,
+        idle_close_ms: f64,
+        fields: Vec<ReportField>,
+    ) -> Upstream {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(0.0, 3.6e6) / 1000.0);
         Upstream {
             idle: RefCell::default(),
-            open: Rc::default(),
-            most,
+            limits,
             connect_timeout: span(connect_ms),
             idle_most: span(idle_close_ms / 2.0),
             fields,
@@ -178,27 +189,40 @@
         true
     }
 
-    /// The connection to a backend that was used last, if one is alive.
-    fn take_idle(&self, backend: BackendId) -> Option<Conn> {
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.get_mut(&backend)?;
-        let now = Instant::now();
-        while let Some(Idle { conn, since }) = list.pop() {
-            if now.duration_since(since) < self.idle_most && conn.wire.is_quiet() {
+    /// Drops the idle connections to a backend that carried nothing since then.
+    fn close_idle_since(&self, backend: BackendId, then: Instant) {
+        if let Some(list) = self.idle.borrow_mut().get_mut(&backend) {
+            list.retain(|idle| idle.since > then);
+        }
+    }
+
+    /// The connection to a backend that was used last and has rested, if one is alive.
+    async fn take_idle(&self, backend: BackendId, address: SocketAddr) -> Option<Conn> {
+        loop {
+            let Idle { conn, since, .. } = {
+                let mut idle = self.idle.borrow_mut();
+                let list = idle.get_mut(&backend)?;
+                list.retain(|idle| idle.address == address);
+                let rested = list.iter().rposition(|idle| idle.since.elapsed() >= REST);
+                let at = rested.or_else(|| list.len().checked_sub(1))?;
+                list.remove(at)
+            };
+            sleep(REST.saturating_sub(since.elapsed())).await;
+            if since.elapsed() < self.idle_most && conn.wire.is_quiet() {
                 return Some(conn);
             }
         }
-        None
     }
 
     /// A new connection. Want of sockets here is told as [`Outcome::Moot`]: it says nothing of the backend.
     async fn connect(&self, address: SocketAddr, until: Instant) -> Result<Conn, Outcome> {
-        while self.open.get() >= self.most {
-            if !self.shed() {
-                return Err(Outcome::Moot);
+        let counted = loop {
+            match self.limits.upstream.take(1) {
+                Some(counted) => break counted,
+                None if self.shed() => {}
+                None => return Err(Outcome::Moot),
             }
-        }
-        let counted = Counted::new(&self.open);
+        };
         let until = until.min(Instant::now() + self.connect_timeout);
         let stream = match timeout_at(until.into(), TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
@@ -209,21 +233,27 @@
             _ => return Err(Outcome::ConnectFailed),
         };
         let wire = Wire::new(stream);
-        let (sender, protocol) = handshake(Io(wire.clone())).await.map_err(|_| Outcome::ConnectFailed)?;
+        let opened = Builder::new().max_buf_size(READ_AHEAD).handshake(Io(wire.clone())).await;
+        let (sender, protocol) = opened.map_err(|_| Outcome::ConnectFailed)?;
         Ok(Conn { sender, protocol: Box::pin(protocol), wire, _counted: counted })
     }
 
-    /// One attempt of a request. `may_write` is asked right before the first byte goes out. When this
-    /// returns, the request is no longer out on any open connection.
+    /// One attempt of a request, which ends at its deadline or after `most`. `may_write` is asked right before the first byte goes out, and `still_there`
+    /// then and before the connection is kept. When this returns, the request is no longer out on any open
+    /// connection.
     pub async fn attempt(
         &self,
         backend: BackendId,
         address: SocketAddr,
         inbound: &Inbound,
-        until: Instant,
+        (deadline, most): (Instant, Duration),
         may_write: impl Fn() -> bool,
+        still_there: impl Fn() -> bool,
     ) -> Ended {
-        let mut idle = self.take_idle(backend);
+        let sent = Instant::now();
+        let mut idle = self.take_idle(backend, address).await;
+        // A rest just now does not count: a time-out may be as short as that.
+        let until = deadline.min(Instant::now() + most);
         loop {
             let pooled = idle.is_some();
             let conn = match idle.take() {
@@ -235,34 +265,39 @@
                 Err(outcome) => return Ended::now(outcome),
             };
             // Guards a drain that was told while the connection came up: nothing new may start then.
-            if !may_write() {
+            if !still_there() || !may_write() {
                 return Ended::now(Outcome::ConnectFailed);
             }
             let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
             if left == 0 {
                 return Ended::now(Outcome::Moot);
             }
-            conn.wire.begin_request(inbound.body.len());
-            let exchange = conn.exchange(outbound(inbound, left));
+            conn.wire.begin_request(inbound.body.bytes.len());
+            let exchange = conn.exchange(outbound(inbound, left), &self.limits);
             let result = timeout_at(until.into(), exchange).await;
-            if let Ok(Ok((status, answer))) = result {
-                let report = self.report(&answer.headers);
+            if let Ok(Ok(Exchanged { status, headers, body })) = result {
+                let report = self.report(&headers);
                 let at = conn.wire.last_read();
-                let outcome = outcome(status, &answer.headers);
-                if conn.settle().await {
-                    let idle = Idle { conn, since: Instant::now() };
+                let outcome = outcome(status, &headers);
+                if body.is_some() && conn.settle().await && still_there() {
+                    let idle = Idle { conn, address, since: Instant::now() };
                     self.idle.borrow_mut().entry(backend).or_default().push(idle);
                 }
-                let answer = (outcome == Outcome::Ok).then_some(answer);
-                return Ended { outcome, at, report, answer };
+                let body = body.filter(|_| outcome == Outcome::Ok);
+                let answer = body.map(|body| Answer { headers, body });
+                let rejected = Some(status).filter(|_| outcome == Outcome::Cancelled);
+                return Ended { outcome, at, report, answer, rejected };
             }
             if pooled && result.is_ok() && !conn.wire.request_begun() {
                 // It died in the pool and not a byte of the request went out: a fresh one serves as well.
                 continue;
             }
             // A machine that was cut off says nothing, and its pooled connections look alive for ever. A fresh
-            // one fails soon, and with nothing sent.
-            self.close_idle(backend);
+            // one fails soon, and with nothing sent. What has carried an answer meanwhile is alive; and any
+            // other end speaks of its own connection alone.
+            if result.is_err() {
+                self.close_idle_since(backend, sent);
+            }
             return Ended::now(match (conn.wire.request_whole(), result) {
                 // A backend begins a request with its last byte: this one never began.
                 (false, _) => Outcome::ConnectFailed,
@@ -281,16 +316,16 @@
         };
         let request = Request::get(path).header(header::HOST, address.to_string());
         let request = request.body(Full::new(Bytes::new())).expect("a fixed path and an address are valid");
-        match timeout_at(until.into(), conn.exchange(request)).await {
+        match timeout_at(until.into(), conn.exchange(request, &self.limits)).await {
             Err(_) => Ended::now(Outcome::Timeout),
             Ok(Err(())) => Ended::now(Outcome::Reset),
-            Ok(Ok((status, answer))) => {
+            Ok(Ok(Exchanged { status, headers, body })) => {
                 let outcome = if status == StatusCode::OK { Outcome::Ok } else { Outcome::Error };
-                let mut report = self.report(&answer.headers);
-                if report.len == 0 {
-                    report = self.parse_report(std::str::from_utf8(&answer.body).unwrap_or_default());
+                let mut report = self.report(&headers);
+                if let Some(body) = body.filter(|_| report.len == 0) {
+                    report = self.parse_report(std::str::from_utf8(&body.bytes).unwrap_or_default());
                 }
-                Ended { outcome, at: conn.wire.last_read(), report, answer: None }
+                Ended { outcome, at: conn.wire.last_read(), report, answer: None, rejected: None }
             }
         }
     }
@@ -300,13 +335,15 @@
         self.parse_report(text.unwrap_or_default())
     }
 
-    /// Reads `name=value,name=value` in the order of the settings; none unless all that they name is there.
+    /// Reads `name=value,name=value` in the order of the settings; none unless all that they name is there and
+    /// can be true: a peer's numbers are not to be trusted.
     fn parse_report(&self, text: &str) -> Report {
         let mut report = Report::default();
         for field in &self.fields {
             let mut values = text.split(',').filter_map(|part| part.split_once('='));
             let value = values.find(|(name, _)| field_named(name.trim()) == *field);
-            let Some(Ok(value)) = value.map(|(_, value)| value.trim().parse()) else {
+            let value = value.and_then(|(_, value)| value.trim().parse::<f32>().ok());
+            let Some(value) = value.filter(|value| value.is_finite() && *value >= 0.0) else {
                 return Report::default();
             };
             report.values[usize::from(report.len)] = value;
@@ -328,17 +365,35 @@
     }
 }
 
+/// How long an answer's body is by its head, or may be if it comes in chunks; `None` if it does not say, or
+/// says it twice. A body that only the connection's end ends can't be told from one cut short.
+fn length(headers: &HeaderMap) -> Option<usize> {
+    let once = |name| {
+        let mut values = headers.get_all(name).iter();
+        let value = values.next();
+        (value.and_then(|v| v.to_str().ok()), value.is_none(), values.next().is_some())
+    };
+    match (once(header::CONTENT_LENGTH), once(header::TRANSFER_ENCODING)) {
+        ((Some(length), _, false), (_, true, _)) => length.parse().ok(),
+        ((_, true, _), (Some(how), _, false)) if how.eq_ignore_ascii_case("chunked") => Some(BODY_MOST),
+        _ => None,
+    }
+}
+
 fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
     let unseen = headers.get(NOT_STARTED).is_some_and(|value| value == "1");
     match status {
         StatusCode::OK => Outcome::Ok,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => Outcome::Full,
+        // The request's own fault: no word on the backend's health, and no claim that it never ran.
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS => Outcome::Error,
+        status if status.is_client_error() => Outcome::Cancelled,
         _ => Outcome::Error,
     }
 }
 
 fn outbound(inbound: &Inbound, left_ms: u64) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(inbound.body.clone()));
+    let mut request = Request::new(Full::new(inbound.body.bytes.clone()));
     *request.method_mut() = inbound.method.clone();
     *request.uri_mut() = Uri::from(inbound.path.clone());
     let mut headers = inbound.headers.clone();
