Do not sleep where a pooled connection has rested already

To blame: take_idle in src/net/upstream.rs slept for what was left of the rest, and a sleep of no length still waits for the runtime's next millisecond.

Ruled out: lists (each held within 50 ms of SIGHUP), shares (only the tenant over its share is refused for it), the copies' own restarts.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -207,7 +207,10 @@
                 let at = rested.or_else(|| list.len().checked_sub(1))?;
                 list.remove(at)
             };
-            sleep(REST.saturating_sub(since.elapsed())).await;
+            // Even a sleep of no length waits for the runtime's next millisecond.
+            if let Some(rest) = REST.checked_sub(since.elapsed()).filter(|rest| !rest.is_zero()) {
+                sleep(rest).await;
+            }
             if since.elapsed() < self.idle_most && conn.wire.is_quiet() {
                 return Some(conn);
             }
