Let `/up` prove nothing of its caller

Checked by a trace of callers' connections: from 7.0 s on all 176 of a copy's callers counted as proven, it accepted 700 connections a second and answered as many at once, with 10 to 17 requests under way. To blame: answer() in src/net/server.rs marked a caller that asked `/up` as one that had brought a good request. With no unproven caller left to give way, each new one displaced the longest idle usual caller, and while the copy was stopping that one could not come back. Ruled out: the end itself (the copy went on serving for 1.7 s as meant) and the tier (few calls in flight).

The flood test now asks `/up` on half of its connections, and fails with the line put back.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -297,7 +297,7 @@
             return Err((StatusCode::BAD_REQUEST, "a request's length is told by Content-Length alone"));
         }
         if head.uri.path() == "/up" {
-            caller.proven.set(true);
+            // Anybody may ask this, so it proves nothing of the caller.
             return Ok(self.up());
         }
         let (mut asked, timeout_ms) = self.read_head(&head)?;
--- a/tests/proxy/hostile.rs
+++ b/tests/proxy/hostile.rs
@@ -139,7 +139,7 @@
 }
 
 #[test]
-fn a_flood_of_silent_connections_leaves_usual_callers_their_place() {
+fn a_flood_of_connections_leaves_usual_callers_their_place() {
     let backend = Backend::start(|n, stream| {
         if n > 0 {
             thread::sleep(Duration::from_millis(300));
@@ -152,14 +152,16 @@
     let mut proxy = Proxy::start_by("ulimit -n 256; exec \"$0\"", &config);
     let mut usual = open(proxy.address, &ask("read", "g0", 20_000, ""));
     assert_eq!(answer(&usual).expect("an answer").status(), 200);
-    let silent: Vec<TcpStream> = (0..600).map(|_| open(proxy.address, "")).collect();
+    // Those that only ask whether it is up are no usual callers either, and may crowd none out.
+    let of_no_use = ["", "GET /up HTTP/1.1\r\nHost: p\r\n\r\n"];
+    let flood: Vec<TcpStream> = (0..600).map(|n| open(proxy.address, of_no_use[n / 300])).collect();
     let fresh: Vec<TcpStream> =
         (0..4).map(|n| open(proxy.address, &ask("read", &format!("h{n}"), 20_000, ""))).collect();
     usual.write_all(ask("read", "g1", 20_000, "").as_bytes()).expect("it is still open");
     assert_eq!(answer(&usual).expect("an answer").status(), 200);
     fresh.iter().for_each(|caller| assert_eq!(answer(caller).expect("an answer").status(), 200));
     assert!(proxy.is_running());
-    drop(silent);
+    drop(flood);
 }
 
 /// A backend that answers its first requests by a list, and all later ones well.
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -253,16 +253,16 @@
 #[test]
 fn an_orderly_end_answers_all_that_was_taken() {
     let backend = Backend::start(|n, stream| {
-        if n == 0 {
+        if n == 1 {
             thread::sleep(Duration::from_millis(2_500));
         }
         stream.write_all(OK.as_bytes()).is_ok()
     });
     let (mut proxy, _discovery) = before(&[&backend]);
-    let idle = open(proxy.address, "GET /up HTTP/1.1\r\nHost: p\r\n\r\n");
+    let idle = open(proxy.address, &ask("read", "l0", 10_000, ""));
     assert_eq!(answer(&idle).expect("an answer").status(), 200);
     let slow = open(proxy.address, &ask("once", "l1", 10_000, "x"));
-    until("the request is out", || backend.seen() == 1);
+    until("the request is out", || backend.seen() == 2);
     proxy.terminate();
     thread::sleep(Duration::from_millis(800));
     // Closing it at once sent its caller to other proxies, which were down as well.
