--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -58,6 +58,7 @@
     stream: TcpStream,
     last_read: Cell<Instant>,
     begun: Cell<Option<Instant>>,
+    stuck: Cell<bool>,
     written: RefCell<Written>,
 }
 
@@ -67,7 +68,8 @@
         // Fails only on a stream that is already dead, which the first read tells.
         let _ = stream.set_nodelay(true);
         let last_read = Cell::new(Instant::now());
-        Rc::new(Wire { stream, last_read, begun: Cell::new(None), written: RefCell::default() })
+        let (begun, stuck) = (Cell::new(None), Cell::new(false));
+        Rc::new(Wire { stream, last_read, begun, stuck, written: RefCell::default() })
     }
 
     /// When the last bytes were read.
@@ -85,6 +87,11 @@
         self.begun.set(None);
     }
 
+    /// Whether what is to be written waits for the peer to read.
+    pub fn is_stuck(&self) -> bool {
+        self.stuck.get()
+    }
+
     /// A request with a body of so many bytes is about to be written.
     pub fn begin_request(&self, body: usize) {
         *self.written.borrow_mut() = Written { body_left: body, ..Written::default() };
@@ -141,9 +148,10 @@
             match self.0.stream.try_write(buf) {
                 Ok(n) => {
                     self.0.written.borrow_mut().add(&buf[..n]);
+                    self.0.stuck.set(n < buf.len());
                     return Poll::Ready(Ok(n));
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.0.stuck.set(true),
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -66,7 +66,7 @@
     proven: Cell<bool>,
     /// When it connected, or had its last answer.
     used: Cell<Instant>,
-    /// Its last answer, which may still wait to be written.
+    /// Its last answer, which may still wait to be written; let go once it is seen to be out.
     last: RefCell<Option<limits::Body>>,
     closing: Cell<Closing>,
     close: Notify,
@@ -166,7 +166,7 @@
     /// longest; false if all are busy.
     fn shed(&self) -> bool {
         let callers = self.callers.borrow();
-        if callers.values().any(|c| c.closing.get() == Closing::Now) {
+        if callers.values().any(|c| c.closing.get() == Closing::Now && !c.taken.get()) {
             // Room is being made: no other need give way for it.
             return true;
         }
@@ -200,6 +200,9 @@
             sleep(TIDY).await;
             self.close_overdue();
             self.close_idle(CALLER_IDLE);
+            for caller in self.callers.borrow().values().filter(|c| !c.wire.is_stuck()) {
+                caller.last.take();
+            }
             self.upstream.reap();
         }
     }
@@ -273,6 +276,7 @@
     }
 
     async fn serve(&self, caller: &Caller, request: Request<Incoming>) -> Reply {
+        caller.last.take();
         let answered = self.answer(caller, request).await;
         caller.taken.set(false);
         caller.used.set(Instant::now());
@@ -314,11 +318,11 @@
         if head.method == Method::GET && !body.bytes.is_empty() {
             return Err((StatusCode::BAD_REQUEST, "a GET has no body"));
         }
-        // The time runs from the request's last byte, which was the last thing read.
         let id = single(&head.headers, REQUEST_ID).unwrap_or_default();
         let _open = OpenId::new(&self.open_ids, id).ok_or((StatusCode::CONFLICT, "the id is in use"))?;
         caller.taken.set(true);
         caller.proven.set(true);
+        // The time runs from the request's last byte, which was the last thing read.
         asked.deadline = caller.wire.last_read() + Duration::from_millis(timeout_ms.into());
         let deadline = asked.deadline;
         let inbound = Inbound { method: head.method, path, headers: head.headers, body };
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -241,9 +241,9 @@
         Ok(Conn { sender, protocol: Box::pin(protocol), wire, _counted: counted })
     }
 
-    /// One attempt of a request, which ends at its deadline or after `most`. `may_write` is asked right before the first byte goes out, and `still_there`
-    /// then and before the connection is kept. When this returns, the request is no longer out on any open
-    /// connection.
+    /// One attempt of a request, which ends at its deadline or after `most`. `may_write` is asked right before
+    /// the first byte goes out, and `still_there` then and before the connection is kept. When this returns, the
+    /// request is no longer out on any open connection.
     pub async fn attempt(
         &self,
         backend: BackendId,
--- a/tests/proxy/hostile.rs
+++ b/tests/proxy/hostile.rs
@@ -27,6 +27,13 @@
     false
 }
 
+/// A proxy before one backend, with one part of its configuration replaced.
+fn with_limit(backend: &Backend, from: &str, to: &str) -> (Proxy, Discovery) {
+    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", backend.address, "ready")])));
+    let config = config(discovery.address, &list(0, true, &[])).replace(from, to);
+    (Proxy::start_by("ulimit -n 256; exec \"$0\"", &config), discovery)
+}
+
 #[test]
 fn callers_that_never_finish_a_request_are_closed() {
     // Silence, a head without end and a body that trickles; and the latter two on a connection that was of use.
@@ -106,9 +113,7 @@
 #[test]
 fn a_callers_numbers_are_not_trusted() {
     let backend = Backend::start(|n, stream| n > 5 || stream.write_all(OK.as_bytes()).is_ok());
-    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", backend.address, "ready")])));
-    let config = config(discovery.address, &list(0, true, &[])).replace("20000", "700");
-    let proxy = Proxy::start(&config);
+    let (proxy, _discovery) = with_limit(&backend, "20000", "700");
     for (n, hint) in ["NaN", "inf", "-inf", "-5", "1e999", "much"].iter().enumerate() {
         let hinted = ask("read", &format!("e{n}"), 600, "").replace("\r\n\r\n", "\r\nWork-Hint: ");
         assert_eq!(proxy.call(&format!("{hinted}{hint}\r\n\r\n")).status(), 200, "{hint}");
@@ -122,10 +127,7 @@
 fn bodies_take_no_more_memory_than_there_is() {
     // 1 MB: a quarter of it is for bodies, four of the largest.
     let backend = Backend::saying(OK);
-    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", backend.address, "ready")])));
-    let config =
-        config(discovery.address, &list(0, true, &[])).replace("\"memory_mb\":192", "\"memory_mb\":1");
-    let proxy = Proxy::start(&config);
+    let (proxy, _discovery) = with_limit(&backend, "\"memory_mb\":192", "\"memory_mb\":1");
     let large = |id: &str| ask("once", id, 8_000, &"x".repeat(64 * 1024));
     let held: Vec<TcpStream> = (0..4)
         .map(|n| {
@@ -146,10 +148,7 @@
         }
         stream.write_all(OK.as_bytes()).is_ok()
     });
-    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", backend.address, "ready")])));
-    let config =
-        config(discovery.address, &list(0, true, &[])).replace("\"sockets\":1024", "\"sockets\":256");
-    let mut proxy = Proxy::start_by("ulimit -n 256; exec \"$0\"", &config);
+    let (mut proxy, _discovery) = with_limit(&backend, "\"sockets\":1024", "\"sockets\":256");
     let mut usual = open(proxy.address, &ask("read", "g0", 20_000, ""));
     assert_eq!(answer(&usual).expect("an answer").status(), 200);
     // Those that only ask whether it is up are no usual callers either, and may crowd none out.
@@ -282,3 +281,25 @@
     assert_eq!(answer(&caller).expect("an answer").status(), 200);
     until("it is closed", || backend.closed.load(Ordering::SeqCst) == 1);
 }
+
+#[test]
+fn answers_that_are_out_take_no_memory_while_their_callers_rest() {
+    // Room for four such bodies; an answer was held until its caller asked again or was closed as idle.
+    let large: &str = Box::leak(ok(&"y".repeat(60 * 1024)).into_boxed_str());
+    let backend = Backend::start(move |n, stream| {
+        let text = if n % 5 == 4 { OK } else { large };
+        stream.write_all(text.as_bytes()).is_ok()
+    });
+    let (proxy, _discovery) = with_limit(&backend, "\"memory_mb\":192", "\"memory_mb\":1");
+    let (begun, mut resting) = (Instant::now(), Vec::new());
+    for round in 0..3 {
+        for n in 0..4 {
+            let caller = open(proxy.address, &ask("read", &format!("p{round}-{n}"), 8_000, ""));
+            assert_eq!(answer(&caller).expect("an answer").status(), 200);
+            resting.push(caller);
+        }
+        let body = ask("once", &format!("q{round}"), 8_000, &"x".repeat(60 * 1024));
+        until("there is room", || proxy.call(&body).status() == 200);
+    }
+    assert!(begun.elapsed() < SOON);
+}
