Keep a class's failures its own, and free finds to a tier that serves

Now a member is out for all calls after one failure more than for one class, so of two classes at the least or by the one class anyway; and the find that costs nothing needs an answer from the tier since the one before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -73,20 +73,22 @@
 const RANK_MS: Millis = 100.0;
 /// The most repeats that can be saved up; the settings say what part of one each request earns.
 const RETRY_SAVED: f64 = 10.0;
-/// Repeats of calls that never reached a backend have a purse of their own, which holds besides as many as the copy had
-/// out at its recent peak: a backend that vanishes must not take what a call that failed at another one needs.
+/// Repeats of calls that never reached a backend have a purse of their own, which holds besides as many as
+/// the copy had out at its recent peak: a backend that vanishes must not take what a call that failed at
+/// another one needs.
 const UNSENT_EARNED: f64 = 0.1;
-/// Calls over which a backend's part of failures is averaged, milliseconds in which an untried one's is forgotten, the
-/// excess over that of all which chance explains, and how steeply more lowers its weight.
+/// Calls over which a backend's part of failures is averaged, milliseconds in which an untried one's is
+/// forgotten, the excess over that of all which chance explains, and how steeply more lowers its weight.
 const FAULTS_CALLS: f64 = 30.0;
 const FAULTS_MS: Millis = 10_000.0;
 const FAULTS_CHANCE: f64 = 0.05;
 const FAULTS_DEAR: i32 = 12;
-/// Failures in a row, of all calls or of one class, that put a backend out of the draw. One connection that did not
-/// come about is enough: it says so much more, and asking again costs so much less.
+/// Failures in a row, of all calls or of one class, that put a backend out of the draw. One connection that
+/// did not come about is enough: it says so much more, and asking again costs so much less.
 const STRIKES: i32 = 3;
-/// Milliseconds until a backend that is out gets its first trial call; doubled with each trial that fails, up to the most,
-/// which grows with the fleet so that all copies together never try more than so many times a second.
+/// Milliseconds until a backend that is out gets its first trial call; doubled with each trial that fails, up
+/// to the most, which grows with the fleet so that all copies together never try more than so many times a
+/// second.
 const TRIAL_MS: Millis = 250.0;
 const TRIAL_MOST: Millis = 4_000.0;
 const TRIALS_PER_S: f64 = 20.0;
@@ -94,7 +96,8 @@
 const TRIAL_EARNED: f64 = 0.05;
 const TRIAL_SAVED: f64 = 3.0;
 const TRIAL_FREE_MS: Millis = 6_000.0;
-/// Trials that may run and fail, by calls that must not be repeated: earned by each request, and free after this time.
+/// Trials that may run and fail, by calls that must not be repeated: earned by each request, and free after
+/// this time.
 const TRIAL_ONCE_EARNED: f64 = 0.001;
 const TRIAL_ONCE_MS: Millis = 60_000.0;
 /// Part of the room that is out from which, while the tier is under this much stress, the picture is doubted.
@@ -112,7 +115,8 @@
 const PATIENCE_LEAST: Millis = 50.0;
 /// A call out this many mean latencies, with no answer since from its backend, is an early sign of a hang.
 const OVERDUE: f64 = 3.0;
-/// One out this many, and this long at the least, while others answer, keeps new calls away until it has ended.
+/// One out this many, and this long at the least, while others answer, keeps new calls away until it has
+/// ended.
 const SILENT: f64 = 8.0;
 const SILENT_LEAST: Millis = 250.0;
 /// The fewest healthy backends a copy draws from, where the tier has more ...
@@ -344,7 +348,8 @@
     hushed: bool,
     /// Calls that failed sooner than they could have been served: they count as load for as long as that.
     quick: Fading,
-    /// When it was first served by again after its connections had failed, where the list does not tell of a start.
+    /// When it was first served by again after its connections had failed, where the list does not tell of a
+    /// start.
     revived_at: Option<Millis>,
 }
 
@@ -395,7 +400,8 @@
         outs.into_iter().flatten().max_by(|a, b| a.due.total_cmp(&b.due))
     }
 
-    /// Whether it has answered nothing since its oldest call went out, this long ago or more, while others did answer.
+    /// Whether it has answered nothing since its oldest call went out, this long ago or more, while others
+    /// did answer.
     fn is_silent(&self, now: Millis, hush: Millis, others: Millis) -> bool {
         now - self.oldest_sent > hush && self.answered_at < self.oldest_sent && others > self.oldest_sent
     }
@@ -480,6 +486,7 @@
     trials_once: f64,
     answered_at: Millis,
     faults: Faults,
+    finds: bool,
     asks_failed: i32,
     logged_at: Millis,
     order: Vec<usize>,
@@ -521,6 +528,7 @@
             trials_once: 0.0,
             answered_at: f64::MIN,
             faults: Faults::default(),
+            finds: false,
             asks_failed: 0,
             logged_at: f64::MIN,
             order: Vec::new(),
@@ -776,13 +784,14 @@
         (COME_BACK * mean * (0.5 + self.random())).min(most)
     }
 
-    /// How long to wait for one attempt before another is tried; `None` for all the time left. Only where another try is
-    /// in hand, there is another backend for it, and it can be expected to be over in time.
+    /// How long to wait for one attempt before another is tried; `None` for all the time left. Only where
+    /// another try is in hand, there is another backend for it, and it can be expected to be over in time.
     fn patience(&self, held: &Held, left: Millis) -> Option<Millis> {
         let latency = &self.latencies[held.class];
         let usual = self.usual_most(held.class);
         let once = self.settings.classes[held.class].effect == Effect::Once;
-        // Where calls are paced, giving up one without a repeat sheds load in time, and so few come that none is sure.
+        // Where calls are paced, giving up one without a repeat sheds load in time, and so few come that none
+        // is sure.
         let in_hand = self.settings.paced || (self.retries >= 1.0 && self.choices > 1);
         let fits = latency.mean > 0.0 && left >= usual + 2.0 * latency.mean;
         (!once && held.attempts == 0 && in_hand && fits).then_some(usual)
@@ -821,10 +830,11 @@
         if ended || held.over {
             return;
         }
-        // One that was not sent because its backend left the list meanwhile costs a tier nothing; and the call that
-        // found out a backend was of use to all that follow.
+        // One that was not sent because its backend left the list meanwhile costs a tier nothing; and the
+        // call that found out a backend was of use to all that follow, as long as the tier serves some.
         let left = |i: &usize| self.backends[*i].info.state != BackendState::Ready;
         let unsent = end.outcome == Outcome::ConnectFailed;
+        let found = found && std::mem::take(&mut self.finds);
         let free = found || unsent && self.index.get(&attempt.to.id).is_none_or(left);
         let permitted = self.may_repeat(&held, end.outcome);
         let purse = if unsent { &mut self.unsent } else { &mut self.retries };
@@ -865,9 +875,10 @@
         let expected = self.expected(held);
         if ok {
             self.served.add(self.now, RATE_MS);
+            self.finds = true;
             self.learn_latency(held, took);
         }
-        let trials = (self.trial_most(), self.random());
+        let trials = (self.trial_most(), if ok { 0.0 } else { self.random() });
         let (mut sound, mut silent, mut found) = (true, false, false);
         if let Some(&i) = self.index.get(&attempt.to.id) {
             let now = self.now;
@@ -879,12 +890,14 @@
                 if !ok && took < expected {
                     b.quick.add(now, expected);
                 }
-                // It answers others: the call was a long one, or the backend is slow, and neither is out of order.
+                // It answers others: the call was a long one, or the backend is slow, and neither is out of
+                // order.
                 let timed_out = outcome == Outcome::Timeout;
                 let slow = timed_out && b.answered_at > attempt.sent_at;
                 silent = timed_out && !slow && self.answered_at > attempt.sent_at;
                 let unsent = outcome == Outcome::ConnectFailed;
-                let strikes = if unsent || silent { 1 } else { STRIKES };
+                // Of more than one class, or it is that class's matter.
+                let strikes = if unsent || silent { 1 } else { STRIKES + 1 };
                 let fate = match ok {
                     true => Some(Fate::Good),
                     false if slow => None,
@@ -906,6 +919,12 @@
                         out.push(said(b.info.id, Standing::Cold, None, None));
                     }
                     if !unsent {
+                        let fate = match fate {
+                            Fate::Bad { now, sent_at, .. } => {
+                                Fate::Bad { now, sent_at, unsent, strikes: strikes.min(STRIKES) }
+                            }
+                            Fate::Good => fate,
+                        };
                         let changed = b.by_class[held.class].accrue(fate, trials);
                         found |= changed && !ok;
                         // That of all its calls goes before that of one class.
@@ -1029,10 +1048,9 @@
 
     // ---- the pick ----
 
-    /// Draws a backend at random by weight from this copy's subset, or one that is out for a trial, which it tells;
-    /// `None` if none may be sent to. Where the
-    /// tier is larger than the subset: many callers that each draw from all fill every backend's connection
-    /// table.
+    /// Draws a backend at random by weight from this copy's subset, or one that is out for a trial, which it
+    /// tells; `None` if none may be sent to. Where the tier is larger than the subset: many callers that each
+    /// draw from all fill every backend's connection table.
     fn pick(&mut self, held: &Held, actions: &mut Vec<Action>) -> Option<(usize, bool)> {
         let now = self.now;
         let copies = f64::from(self.settings.fleet_size);
@@ -1129,8 +1147,8 @@
         picked.map(|i| (i, false))
     }
 
-    /// Whether a call may be the trial of a backend that is out: one a request, few beside what is asked, and with a
-    /// repeat in hand. One that may run and fail there goes only where it can be repeated.
+    /// Whether a call may be the trial of a backend that is out: one a request, few beside what is asked, and
+    /// with a repeat in hand. One that may run and fail there goes only where it can be repeated.
     fn may_try(&self, held: &Held, out: Out) -> bool {
         let due = self.trials >= 1.0 || self.now - self.tried_at >= TRIAL_FREE_MS;
         let free = self.trials_once >= 1.0 || self.now - self.tried_at >= TRIAL_ONCE_MS;
