--- a/src/choice.rs
+++ b/src/choice.rs
@@ -461,6 +461,8 @@
 pub struct Balancer {
     settings: Settings,
     rng: Xoshiro256PlusPlus,
+    /// For the times of trials: a stream of its own, so that the draws do not hang on what has failed.
+    jitter: Xoshiro256PlusPlus,
     now: Millis,
     backends: Vec<Backend>,
     index: FxHashMap<BackendId, usize>,
@@ -501,8 +503,10 @@
     pub fn new(settings: Settings, seed: u64) -> Balancer {
         let classes = settings.classes.len();
         let tenants = settings.tenants.len();
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
         Balancer {
-            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            jitter: Xoshiro256PlusPlus::seed_from_u64(rng.next_u64()),
+            rng,
             now: 0.0,
             backends: Vec::new(),
             index: FxHashMap::default(),
@@ -878,7 +882,7 @@
             self.finds = true;
             self.learn_latency(held, took);
         }
-        let trials = (self.trial_most(), if ok { 0.0 } else { self.random() });
+        let trials = (self.trial_most(), uniform(&mut self.jitter));
         let (mut sound, mut silent, mut found) = (true, false, false);
         if let Some(&i) = self.index.get(&attempt.to.id) {
             let now = self.now;
@@ -1222,7 +1226,7 @@
     }
 
     fn random(&mut self) -> f64 {
-        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+        uniform(&mut self.rng)
     }
 
     /// Writes a line at most once in five seconds.
@@ -1234,6 +1238,11 @@
     }
 }
 
+/// A number from 0 up to 1.
+fn uniform(random: &mut Xoshiro256PlusPlus) -> f64 {
+    (random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// A line of how a backend stands, for operators.
 fn said(backend: BackendId, standing: Standing, class: Option<usize>, why: Option<Outcome>) -> Action {
     Action::Standing { backend, standing, class: class.map(|class| class as u8), why }
