--- a/crates/emulator/src/matrix.rs
+++ b/crates/emulator/src/matrix.rs
@@ -2,7 +2,6 @@
 
 use crate::rivals::{Model, Rival};
 use crate::world::{rules, Books, End, Pool, Trouble, World};
-use crate::Decider;
 use serde::Serialize;
 use umberridge::api::*;
 use umberridge::Balancer;
@@ -202,11 +201,6 @@
         let each = |rank: u32| Model::new(rival, &self.settings(rank), seed ^ u64::from(rank + 1));
         World::new(self.pool(), (0..self.instances).map(each).collect::<Vec<_>>(), seed).run()
     }
-
-    /// Plays it before anything.
-    pub fn play_with<D: Decider>(&self, deciders: Vec<D>, seed: u64) -> Books {
-        World::new(self.pool(), deciders, seed).run()
-    }
 }
 
 /// What a cell came to.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1084,13 +1084,10 @@
             if out.is_some() || silent {
                 sick_room += b_room;
                 sick.push((i, b_room * health.max(HEALTH_FLOOR)));
-            }
-            if let Some(out) = out {
-                if out.due <= now && trial.is_none_or(|(due, _)| out.due < due) && self.may_try(held, out) {
+                let sooner = |out: &Out| out.due <= now && trial.is_none_or(|(due, _)| out.due < due);
+                if let Some(out) = out.filter(|out| sooner(out) && self.may_try(held, *out)) {
                     trial = Some((out.due, i));
                 }
-            }
-            if out.is_some() || silent {
                 self.backends[i].hushed |= silent;
                 continue;
             }
