--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,14 +5,12 @@
 //! exceed a node's count is refused unsent. The counts are learned. The backend is then drawn at random,
 //! weighted by rating, warmth, feedback and load. Where it departs from this, the comment says when.
 
-mod chance;
-mod fading;
 mod record;
 
 use crate::api::*;
-use chance::{draw, uniform};
-use fading::Fading;
-use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use dewrun_fading::{Floor, Mean, Part, Spread, Sum};
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -41,9 +39,6 @@
 const RISE: f64 = 0.1;
 /// First count, over the times by which a fresh count rises faster: many answers a round bring news in time.
 const FRESH: f64 = 10.0;
-/// Part of a backend's CPU that must be free for a full rise; with less the count rises less, with none not.
-/// Guards against a count that outgrows the tier while the first late answers are still out.
-const SPARE_CPU: f64 = 0.3;
 /// Part of the count in flight from which a timely finish raises it: an unused limit teaches nothing.
 const IN_USE: f64 = 0.7;
 /// Milliseconds over which a node forgets the most calls it had in flight.
@@ -142,6 +137,8 @@
 /// from the counts or gives them: what was learned of a tier that has all but gone says little of the next.
 const ROOM_MS: Millis = 50.0;
 const ROOM_MOST: f64 = 4.0;
+/// Weight of one call in a class's mean latency.
+const LATENCY_PART: f64 = 0.05;
 /// Milliseconds over which the rate of served calls is averaged.
 const RATE_MS: Millis = 3_000.0;
 /// Mean latencies after which a refused client may come back: by then about half of what filled the gate is
@@ -163,12 +160,15 @@
 }
 
 /// A FlowSlot node with its learned count (thread grade).
-#[derive(Clone, Serialize, Deserialize)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Node {
     count: f64,
     first: f64,
+    /// What a copy has out is not what it hands on.
+    #[serde(skip)]
     in_flight: f64,
     /// In flight from copies that serve as one with this one for a while.
+    #[serde(skip)]
     elsewhere: f64,
     used: f64,
     stress: f64,
@@ -207,11 +207,11 @@
             self.count = self.count.min((self.count.min(self.used) * CUT).max(floor).max(limit.least));
             return true;
         }
-        if call.stress <= most && self.used >= (IN_USE * self.count).min(self.count - 1.0) {
+        if call.stress < most && self.used >= (IN_USE * self.count).min(self.count - 1.0) {
             // Until the first cut the count rises at least twice as fast: nothing is known against it yet.
             let fresh = if self.cut_at == f64::MIN { (self.first / FRESH).clamp(2.0, 10.0) } else { 1.0 };
             let step = fresh * RISE.max(1.0 / self.count.max(1.0));
-            self.count += step * call.spare * (1.0 - self.stress / most);
+            self.count += step * (1.0 - self.stress / most);
         }
         false
     }
@@ -220,24 +220,18 @@
 /// The tier's usual stress: the lowest that its smoothed stress has been, rising slowly.
 #[derive(Clone, Default, Serialize, Deserialize)]
 struct Usual {
-    mean: f64,
-    samples: f64,
-    least: f64,
-    at: Millis,
+    mean: Mean,
+    least: Floor,
 }
 
 impl Usual {
     /// Takes a sample; gives the stress above which the tier holds more calls than it serves sooner for.
     fn crowded(&mut self, now: Millis, sample: f64) -> f64 {
-        self.samples = (self.samples + 1.0).min(USUAL_SAMPLES);
-        self.mean += (sample - self.mean) / self.samples;
-        self.least *= 1.0 + CALM_DRIFT * (now - self.at).clamp(0.0, 1e4) / 1000.0;
-        self.at = now;
-        if self.samples < USUAL_SAMPLES / 4.0 {
+        self.mean.add(sample, USUAL_SAMPLES);
+        if self.mean.count() < USUAL_SAMPLES / 4.0 {
             return f64::MAX;
         }
-        self.least = if self.least == 0.0 { self.mean } else { self.least.min(self.mean) };
-        self.least * CROWDED
+        self.least.follow(now, self.mean.value(), CALM_DRIFT) * CROWDED
     }
 }
 
@@ -276,8 +270,7 @@
     }
 
     /// Counts failures in a row, and puts out of the draw what has too many; true if that has changed.
-    fn accrue(&mut self, fate: Fate, trials: (Millis, f64)) -> bool {
-        let (most, random) = trials;
+    fn accrue(&mut self, fate: Fate, strikes: i32, (most, random): (Millis, f64)) -> bool {
         let wait = |wait: Millis| wait * (0.5 + random);
         match (&mut self.out, fate) {
             (out, Fate::Good) => {
@@ -291,7 +284,7 @@
                 out.wait = (2.0 * out.wait).min(most);
                 out.due = now + wait(out.wait);
             }
-            (None, Fate::Bad { now, unsent, strikes, .. }) => {
+            (None, Fate::Bad { now, unsent, .. }) => {
                 self.row += 1;
                 if self.row >= strikes {
                     self.out = Some(Out { since: now, unsent, wait: TRIAL_MS, due: now + wait(TRIAL_MS) });
@@ -303,40 +296,30 @@
     }
 }
 
-/// The part of its calls that has failed lately.
-#[derive(Clone, Copy, Default, Serialize, Deserialize)]
-struct Faults {
-    part: f64,
-    at: Millis,
-}
-
-impl Faults {
-    fn read(&self, now: Millis) -> f64 {
-        self.part * (-(now - self.at) / FAULTS_MS).exp()
-    }
-
-    fn add(&mut self, now: Millis, failed: bool) {
-        let part = self.read(now);
-        self.part = part + (f64::from(u8::from(failed)) - part) / FAULTS_CALLS;
-        self.at = now;
-    }
-}
-
 /// What a call that has ended says of its backend.
 #[derive(Clone, Copy)]
 enum Fate {
     Good,
-    Bad { now: Millis, sent_at: Millis, unsent: bool, strikes: i32 },
+    Bad { now: Millis, sent_at: Millis, unsent: bool },
 }
 
-struct Backend {
-    info: BackendInfo,
-    in_flight: f64,
-    faults: Faults,
+/// What was learned of a backend since it started.
+#[derive(Clone, Serialize, Deserialize)]
+struct Seen {
+    faults: Part,
     health: Health,
     by_class: Vec<Health>,
     slowness: f64,
     samples: f64,
+    /// When it was first served by again after its connections had failed, where the list does not tell of a
+    /// start.
+    revived_at: Option<Millis>,
+}
+
+struct Backend {
+    info: BackendInfo,
+    seen: Seen,
+    in_flight: f64,
     oldest_sent: Millis,
     answered_at: Millis,
     cold_tokens: f64,
@@ -344,29 +327,23 @@
     /// It was said to be silent.
     hushed: bool,
     /// Calls that failed sooner than they could have been served: they count as load for as long as that.
-    quick: Fading,
-    /// When it was first served by again after its connections had failed, where the list does not tell of a
-    /// start.
-    revived_at: Option<Millis>,
+    quick: Sum,
 }
 
 impl Backend {
     fn new(info: BackendInfo, tokens: f64, classes: usize, now: Millis) -> Backend {
+        let (faults, health, by_class) = Default::default();
+        let seen = Seen { faults, health, by_class, slowness: 1.0, samples: 0.0, revived_at: None };
         Backend {
             info,
+            seen: Seen { by_class: vec![health; classes], ..seen },
             in_flight: 0.0,
-            faults: Faults::default(),
-            health: Health::default(),
-            by_class: vec![Health::default(); classes],
-            slowness: 1.0,
-            samples: 0.0,
             oldest_sent: f64::MAX,
             answered_at: f64::MIN,
             cold_tokens: tokens,
             cold_at: now,
             hushed: false,
-            quick: Fading::default(),
-            revived_at: None,
+            quick: Sum::default(),
         }
     }
 
@@ -376,7 +353,7 @@
 
     /// The part of its capacity it has for certain by now.
     fn warmth(&self, now: Millis, rules: &Rules) -> f64 {
-        let started = [self.info.started_at, self.revived_at].into_iter().flatten().reduce(f64::max);
+        let started = [self.info.started_at, self.seen.revived_at].into_iter().flatten().reduce(f64::max);
         match started {
             Some(start) if now - start < rules.cold_ms => {
                 let part = ((now - start) / rules.cold_ms).max(0.0);
@@ -388,12 +365,12 @@
 
     /// Guards against a backend that fails one class alone: the successes of the others must not heal that.
     fn health_now(&self, now: Millis, class: usize) -> f64 {
-        self.health.read(now).min(self.by_class[class].read(now))
+        self.seen.health.read(now).min(self.seen.by_class[class].read(now))
     }
 
     /// Whether it is out of the draw for a class; of two reasons, the one with the later trial.
     fn out(&self, class: usize) -> Option<Out> {
-        let outs = [self.health.out, self.by_class[class].out];
+        let outs = [self.seen.health.out, self.seen.by_class[class].out];
         outs.into_iter().flatten().max_by(|a, b| a.due.total_cmp(&b.due))
     }
 
@@ -409,20 +386,11 @@
     }
 }
 
-/// How an attempt ended, and what room its backend reports.
-#[derive(Clone, Copy)]
-struct End {
-    outcome: Outcome,
-    took: Millis,
-    spare: f64,
-}
-
 /// What one finished call teaches a node.
 #[derive(Clone, Copy)]
 struct Sample {
     sent_at: Millis,
     stress: f64,
-    spare: f64,
 }
 
 #[derive(Clone, Copy)]
@@ -434,7 +402,6 @@
 struct Held {
     class: usize,
     tenant: usize,
-    hint: f64,
     borrowed: bool,
     give_up_at: Millis,
     attempts: u32,
@@ -446,12 +413,26 @@
     over: bool,
 }
 
-/// Mean and mean deviation of a class's latencies, and its mean hint.
+/// All that a copy has learned, but for what only its own open requests tell.
 #[derive(Clone, Default, Serialize, Deserialize)]
-struct Latency {
-    mean: f64,
-    dev: f64,
-    hint: f64,
+struct Known {
+    tier: Node,
+    borrow: Node,
+    classes: Vec<Node>,
+    /// Of each class.
+    latencies: Vec<Spread>,
+    shares: Vec<Sum>,
+    asked: Vec<Sum>,
+    passed: Vec<Sum>,
+    served: Sum,
+    calm: Floor,
+    usual: Usual,
+    retries: f64,
+    unsent: f64,
+    subset_room: f64,
+    /// Of all ready backends, as last looked at: the counts hold for so much.
+    room: f64,
+    faults: Part,
 }
 
 /// One balancer copy: all that it knows, and nothing shared.
@@ -464,37 +445,21 @@
     backends: Vec<Backend>,
     index: FxHashMap<BackendId, usize>,
     held: FxHashMap<RequestId, Held>,
-    tier: Node,
-    borrow: Node,
-    classes: Vec<Node>,
-    latencies: Vec<Latency>,
-    shares: Vec<Fading>,
-    asked: Vec<Fading>,
-    passed: Vec<Fading>,
+    known: Known,
     yielding: Vec<bool>,
     yielding_part: f64,
     ranked_at: Millis,
-    served: Fading,
-    calm: f64,
-    calm_at: Millis,
-    usual: Usual,
-    retries: f64,
-    unsent: f64,
     trials: f64,
     tried_at: Millis,
     trials_once: f64,
     answered_at: Millis,
-    faults: Faults,
     /// How many copies serve as one with this one.
     beside: f64,
-    /// Of all ready backends, as last looked at.
-    room: f64,
     room_at: Millis,
     finds: bool,
     asks_failed: i32,
     logged_at: Millis,
     order: Vec<usize>,
-    subset_room: f64,
     weights: Vec<(usize, f64)>,
     sick: Vec<(usize, f64)>,
     choices: usize,
@@ -506,6 +471,18 @@
         let classes = settings.classes.len();
         let tenants = settings.tenants.len();
         let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let known = Known {
+            tier: Node::new(START_COUNT),
+            borrow: Node::new(START_BORROW),
+            classes: vec![Node::new(START_COUNT); classes],
+            latencies: vec![Spread::default(); classes],
+            shares: vec![Sum::default(); tenants],
+            asked: vec![Sum::default(); classes],
+            passed: vec![Sum::default(); classes],
+            retries: RETRY_SAVED,
+            unsent: RETRY_SAVED,
+            ..Known::default()
+        };
         Balancer {
             jitter: Xoshiro256PlusPlus::seed_from_u64(rng.next_u64()),
             rng,
@@ -513,35 +490,20 @@
             backends: Vec::new(),
             index: FxHashMap::default(),
             held: FxHashMap::default(),
-            tier: Node::new(START_COUNT),
-            borrow: Node::new(START_BORROW),
-            classes: (0..classes).map(|_| Node::new(START_COUNT)).collect(),
-            latencies: (0..classes).map(|_| Latency::default()).collect(),
-            shares: (0..tenants).map(|_| Fading::default()).collect(),
-            passed: (0..classes).map(|_| Fading::default()).collect(),
+            known,
             yielding: vec![false; classes],
             yielding_part: 0.0,
             ranked_at: f64::MIN,
-            asked: (0..classes).map(|_| Fading::default()).collect(),
-            served: Fading::default(),
-            calm: 0.0,
-            calm_at: 0.0,
-            usual: Usual::default(),
-            retries: RETRY_SAVED,
-            unsent: RETRY_SAVED,
             trials: TRIAL_SAVED,
             tried_at: f64::MIN,
             trials_once: 0.0,
             answered_at: f64::MIN,
-            faults: Faults::default(),
             beside: 0.0,
-            room: 0.0,
             room_at: f64::MIN,
             finds: false,
             asks_failed: 0,
             logged_at: f64::MIN,
             order: Vec::new(),
-            subset_room: 0.0,
             weights: Vec::new(),
             sick: Vec::new(),
             choices: 0,
@@ -561,12 +523,11 @@
                 self.on_list(kind, backends, actions);
                 self.follow_room();
             }
-            Event::Request { id, class, tenant, hint_ms, ttl_ms, .. } => {
-                self.on_request(id, class.into(), tenant.into(), hint_ms, ttl_ms, actions);
+            Event::Request { id, class, tenant, ttl_ms, .. } => {
+                self.on_request(id, class.into(), tenant.into(), ttl_ms, actions);
             }
-            Event::Outcome { request, outcome, took_ms, ended, report, .. } => {
-                let end = End { outcome, took: took_ms, spare: self.spare(&report) };
-                self.on_outcome(request, end, ended, actions);
+            Event::Outcome { request, outcome, took_ms, ended, .. } => {
+                self.on_outcome(request, (outcome, took_ms), ended, actions);
             }
             Event::ClientGone { request } => self.on_client_gone(request, actions),
             Event::Timer { token: ASK } => actions.push(Action::Subscribe { on: true }),
@@ -608,18 +569,18 @@
         self.index = self.backends.iter().enumerate().map(|(i, b)| (b.info.id, i)).collect();
         self.order_backends();
         // Only at the top: a call refused further down wastes the work already done for it.
-        if self.settings.stage == 0 && self.tier.count == START_COUNT && !self.backends.is_empty() {
+        if self.settings.stage == 0 && self.known.tier.count == START_COUNT && !self.backends.is_empty() {
             if self.settings.paced {
                 let part = self.backends.len() as f64 / f64::from(self.settings.fleet_size);
                 let start = (START_EACH * part).max(START_SPARSE * part + START_LEAST);
-                self.tier = Node::new(start);
-                self.classes.iter_mut().for_each(|node| *node = Node::new(start));
+                self.known.tier = Node::new(start);
+                self.known.classes.iter_mut().for_each(|node| *node = Node::new(start));
             }
             // A window that began empty would let in a whole window of a tenant's traffic at once.
-            let shares = self.shares.iter_mut().zip(&self.settings.tenants);
-            for (share, tenant) in shares.filter(|(share, _)| share.at == 0.0) {
+            let shares = self.known.shares.iter_mut().zip(&self.settings.tenants);
+            for (share, tenant) in shares.filter(|(share, _)| share.is_new()) {
                 let part = tenant.allowance_per_s / f64::from(self.settings.fleet_size);
-                *share = Fading { sum: part * SHARE_MS / 1000.0, at: self.now };
+                *share = Sum::of(part * SHARE_MS / 1000.0, self.now);
             }
         }
     }
@@ -630,10 +591,11 @@
         self.room_at = self.now;
         let ready = self.backends.iter().filter(|b| b.info.state == BackendState::Ready);
         let room: f64 = ready.map(|b| b.rating() * b.warmth(self.now, &self.settings.rules)).sum();
-        let before = std::mem::replace(&mut self.room, room);
+        let before = std::mem::replace(&mut self.known.room, room);
         if before > 0.0 && room > 0.0 && before != room {
             let by = (room / before).clamp(1.0 / ROOM_MOST, ROOM_MOST);
-            let nodes = [&mut self.tier, &mut self.borrow].into_iter().chain(&mut self.classes);
+            let nodes =
+                [&mut self.known.tier, &mut self.known.borrow].into_iter().chain(&mut self.known.classes);
             nodes.for_each(|node| node.count = (node.count * by).max(LEAST_COUNT));
         }
     }
@@ -658,7 +620,7 @@
 
     fn learn_backend(&mut self, info: BackendInfo) {
         // A random first token, so that many copies told at once do not all try a cold backend at once.
-        let (tokens, classes) = (self.random(), self.classes.len());
+        let (tokens, classes) = (self.random(), self.known.classes.len());
         match self.index.get(&info.id) {
             Some(&i) if self.backends[i].info.started_at == info.started_at => self.backends[i].info = info,
             Some(&i) => {
@@ -689,26 +651,20 @@
         id: RequestId,
         class: usize,
         tenant: usize,
-        hint: Option<Millis>,
         ttl: Millis,
         actions: &mut Vec<Action>,
     ) {
-        self.retries = (self.retries + self.settings.repeats).min(RETRY_SAVED);
-        self.unsent = (self.unsent + UNSENT_EARNED).min(RETRY_SAVED + self.tier.used);
+        self.known.retries = (self.known.retries + self.settings.repeats).min(RETRY_SAVED);
+        self.known.unsent = (self.known.unsent + UNSENT_EARNED).min(RETRY_SAVED + self.known.tier.used);
         self.trials = (self.trials + TRIAL_EARNED).min(TRIAL_SAVED);
         self.trials_once = (self.trials_once + TRIAL_ONCE_EARNED).min(1.0);
-        let Some(rules) = self.settings.classes.get(class) else {
+        if class >= self.settings.classes.len() {
             return actions.push(Action::Refuse { request: id, retry_after_ms: 0.0, why: Why::NoClass });
-        };
-        self.asked[class].add(self.now, ASKED_MS);
-        // Below the top, without deadlines passed on, the full one is given though the caller has less left:
-        // an answer after the aim that earns nothing is one nobody awaits.
-        let guess = !self.settings.passes_deadline && self.settings.stage > 0 && rules.late_worth == 0.0;
-        let ttl = if guess { ttl.min(rules.aim_ms) } else { ttl };
+        }
+        self.known.asked[class].add(self.now, ASKED_MS);
         let held = Held {
             class,
             tenant,
-            hint: hint.filter(|h| *h > 0.0 && h.is_finite()).unwrap_or(0.0),
             borrowed: self.over_share(tenant),
             give_up_at: self.now + ttl.max(0.0),
             attempts: 0,
@@ -725,7 +681,8 @@
     /// the gate uses up no share, or its client's next try would count as borrowed. The top tier decides:
     /// below it the work of the tiers above is already sunk.
     fn over_share(&self, tenant: usize) -> bool {
-        let (Some(tenant), Some(share)) = (self.settings.tenants.get(tenant), self.shares.get(tenant)) else {
+        let (Some(tenant), Some(share)) = (self.settings.tenants.get(tenant), self.known.shares.get(tenant))
+        else {
             return false;
         };
         if self.settings.stage > 0 {
@@ -753,7 +710,7 @@
         };
         let early = self.patience(&held, left);
         held.early = early.is_some() && !self.settings.paced;
-        self.retries -= f64::from(u8::from(held.early));
+        self.known.retries -= f64::from(u8::from(held.early));
         let timeout_ms = early.unwrap_or(left);
         // A trial shows within the time of a call whether there is a connection to be had.
         let connect_ms = if trial { self.usual_most(held.class) } else { 0.0 };
@@ -765,13 +722,14 @@
         held.attempts += 1;
         held.out = Some(Attempt { to: backend.info, sent_at: self.now });
         held.tried.push(to);
-        self.tier.in_flight += 1.0;
-        self.classes[held.class].in_flight += 1.0;
+        self.known.tier.in_flight += 1.0;
+        self.known.classes[held.class].in_flight += 1.0;
         if held.attempts == 1 {
-            self.passed[held.class].add(self.now, ASKED_MS);
+            self.known.passed[held.class].add(self.now, ASKED_MS);
         }
-        self.borrow.in_flight += f64::from(u8::from(held.borrowed));
-        if let Some(share) = self.shares.get_mut(held.tenant).filter(|_| !held.borrowed && held.attempts == 1)
+        self.known.borrow.in_flight += f64::from(u8::from(held.borrowed));
+        if let Some(share) =
+            self.known.shares.get_mut(held.tenant).filter(|_| !held.borrowed && held.attempts == 1)
         {
             share.add(self.now, SHARE_MS);
         }
@@ -781,8 +739,8 @@
 
     fn admits(&mut self, held: &Held) -> bool {
         let u = self.random();
-        let borrows = !held.borrowed || self.borrow.admits(u);
-        self.tier.admits(u) && self.classes[held.class].admits(u) && borrows
+        let borrows = !held.borrowed || self.known.borrow.admits(u);
+        self.known.tier.admits(u) && self.known.classes[held.class].admits(u) && borrows
     }
 
     /// The final answer for a request with no attempt out.
@@ -809,26 +767,27 @@
         if self.settings.stage > 0 || !allowed.retry_after {
             return 0.0;
         }
-        let mean = Some(self.latencies[class].mean).filter(|mean| *mean > 0.0).unwrap_or(COME_BACK_BLIND);
+        let mean =
+            Some(self.known.latencies[class].mean).filter(|mean| *mean > 0.0).unwrap_or(COME_BACK_BLIND);
         (COME_BACK * mean * (0.5 + self.random())).min(most)
     }
 
     /// How long to wait for one attempt before another is tried; `None` for all the time left. Only where
     /// another try is in hand, there is another backend for it, and it can be expected to be over in time.
     fn patience(&self, held: &Held, left: Millis) -> Option<Millis> {
-        let latency = &self.latencies[held.class];
+        let latency = &self.known.latencies[held.class];
         let usual = self.usual_most(held.class);
         let once = self.settings.classes[held.class].effect == Effect::Once;
         // Where calls are paced, giving up one without a repeat sheds load in time, and so few come that none
         // is sure.
-        let in_hand = self.settings.paced || (self.retries >= 1.0 && self.choices > 1);
+        let in_hand = self.settings.paced || (self.known.retries >= 1.0 && self.choices > 1);
         let fits = latency.mean > 0.0 && left >= usual + 2.0 * latency.mean;
         (!once && held.attempts == 0 && in_hand && fits).then_some(usual)
     }
 
     /// A time that a call of a class seldom takes.
     fn usual_most(&self, class: usize) -> Millis {
-        let latency = &self.latencies[class];
+        let latency = &self.known.latencies[class];
         let least = if self.settings.paced { 0.0 } else { PATIENCE_LEAST };
         (latency.mean + PATIENCE * latency.dev).max(least)
     }
@@ -841,32 +800,32 @@
         }
     }
 
-    fn on_outcome(&mut self, id: RequestId, end: End, ended: bool, actions: &mut Vec<Action>) {
+    fn on_outcome(&mut self, id: RequestId, end: (Outcome, Millis), ended: bool, actions: &mut Vec<Action>) {
         let Some(mut held) = self.held.remove(&id) else { return };
         let Some(attempt) = held.out.take() else { return };
-        if !end.outcome.never_ran() && held.may_have_run.is_none() {
+        if !end.0.never_ran() && held.may_have_run.is_none() {
             // As it was known at the send: a backend that has left the list since must not make this
             // forgotten.
             held.may_have_run = Some((attempt.to, attempt.sent_at));
         }
         if std::mem::take(&mut held.early) {
-            self.retries = (self.retries + 1.0).min(RETRY_SAVED);
+            self.known.retries = (self.known.retries + 1.0).min(RETRY_SAVED);
         }
         let found = self.learn(&held, attempt, end, actions);
-        self.tier.in_flight -= 1.0;
-        self.classes[held.class].in_flight -= 1.0;
-        self.borrow.in_flight -= f64::from(u8::from(held.borrowed));
+        self.known.tier.in_flight -= 1.0;
+        self.known.classes[held.class].in_flight -= 1.0;
+        self.known.borrow.in_flight -= f64::from(u8::from(held.borrowed));
         if ended || held.over {
             return;
         }
         // One that was not sent because its backend left the list meanwhile costs a tier nothing; and the
         // call that found out a backend was of use to all that follow, as long as the tier serves some.
         let left = |i: &usize| self.backends[*i].info.state != BackendState::Ready;
-        let unsent = end.outcome == Outcome::ConnectFailed;
+        let unsent = end.0 == Outcome::ConnectFailed;
         let found = found && std::mem::take(&mut self.finds);
         let free = found || unsent && self.index.get(&attempt.to.id).is_none_or(left);
-        let permitted = self.may_repeat(&held, end.outcome);
-        let purse = if unsent { &mut self.unsent } else { &mut self.retries };
+        let permitted = self.may_repeat(&held, end.0);
+        let purse = if unsent { &mut self.known.unsent } else { &mut self.known.retries };
         if permitted && (free || *purse >= 1.0) {
             *purse -= f64::from(u8::from(!free));
             self.try_send(id, held, actions);
@@ -888,26 +847,25 @@
 
     // ---- learning ----
 
-    /// The part of a full rise that the backend's report leaves room for; all of it where none tells.
-    fn spare(&self, report: &Report) -> f64 {
-        let place = self.settings.report.iter().position(|f| *f == ReportField::Cpu);
-        let cpu = place.filter(|i| *i < usize::from(report.len)).map(|i| f64::from(report.values[i]));
-        cpu.filter(|cpu| cpu.is_finite()).map_or(1.0, |cpu| ((1.0 - cpu) / SPARE_CPU).clamp(0.0, 1.0))
-    }
-
     /// Learns from an attempt that has ended; true if it has put its backend out of the draw.
-    fn learn(&mut self, held: &Held, attempt: Attempt, end: End, out: &mut Vec<Action>) -> bool {
-        let End { outcome, took, spare } = end;
+    fn learn(
+        &mut self,
+        held: &Held,
+        attempt: Attempt,
+        end: (Outcome, Millis),
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let (outcome, took) = end;
         let aim = self.settings.classes[held.class].aim_ms;
         let took = if took.is_finite() { took.max(0.0) } else { self.now - attempt.sent_at };
         let ok = outcome == Outcome::Ok;
-        let expected = self.expected(held);
+        let expected = self.known.latencies[held.class].mean;
         if ok {
-            self.served.add(self.now, RATE_MS);
+            self.known.served.add(self.now, RATE_MS);
             self.finds = true;
-            self.learn_latency(held, took);
+            self.known.latencies[held.class].add(took, LATENCY_PART);
         }
-        let trials = (self.trial_most(), uniform(&mut self.jitter));
+        let trials = (self.trial_most(), self.jitter.random());
         let (mut sound, mut silent, mut found) = (true, false, false);
         if let Some(&i) = self.index.get(&attempt.to.id) {
             let now = self.now;
@@ -930,11 +888,11 @@
                 let fate = match ok {
                     true => Some(Fate::Good),
                     false if slow => None,
-                    false => Some(Fate::Bad { now, sent_at: attempt.sent_at, unsent, strikes }),
+                    false => Some(Fate::Bad { now, sent_at: attempt.sent_at, unsent }),
                 };
-                let was_unsent = b.health.out.is_some_and(|out| out.unsent);
+                let was_unsent = b.seen.health.out.is_some_and(|out| out.unsent);
                 if let Some(fate) = fate {
-                    let changed = b.health.accrue(fate, trials);
+                    let changed = b.seen.health.accrue(fate, strikes, trials);
                     found = changed && !ok;
                     let standing = if ok { Standing::Well } else { Standing::Suspect };
                     let why = Some(outcome).filter(|_| !ok);
@@ -942,44 +900,39 @@
                         out.push(said(b.info.id, standing, None, why));
                     }
                     if changed && ok && was_unsent {
-                        b.revived_at = Some(now);
+                        b.seen.revived_at = Some(now);
                         b.cold_at = now;
                         b.cold_tokens = 0.0;
                         out.push(said(b.info.id, Standing::Cold, None, None));
                     }
                     if !unsent {
-                        let fate = match fate {
-                            Fate::Bad { now, sent_at, .. } => {
-                                Fate::Bad { now, sent_at, unsent, strikes: strikes.min(STRIKES) }
-                            }
-                            Fate::Good => fate,
-                        };
-                        let changed = b.by_class[held.class].accrue(fate, trials);
+                        let strikes = strikes.min(STRIKES);
+                        let changed = b.seen.by_class[held.class].accrue(fate, strikes, trials);
                         found |= changed && !ok;
                         // That of all its calls goes before that of one class.
-                        if changed && (ok || b.health.out.is_none()) {
+                        if changed && (ok || b.seen.health.out.is_none()) {
                             out.push(said(b.info.id, standing, Some(held.class), why));
                         }
                     }
                 }
-                b.faults.add(now, !ok);
-                self.faults.add(now, !ok);
-                b.health.judge(now, ok);
-                b.by_class[held.class].judge(now, ok);
+                b.seen.faults.add(now, FAULTS_MS, FAULTS_CALLS, !ok);
+                self.known.faults.add(now, FAULTS_MS, FAULTS_CALLS, !ok);
+                b.seen.health.judge(now, ok);
+                b.seen.by_class[held.class].judge(now, ok);
                 if outcome != Outcome::Timeout && outcome != Outcome::ConnectFailed {
                     b.answered_at = now;
                     self.answered_at = now;
                 }
             }
             if ok && expected > 0.0 {
-                b.samples = (b.samples + 1.0).min(15.0);
-                b.slowness += ((took / expected).min(10.0) - b.slowness) / (5.0 + b.samples);
+                b.seen.samples = (b.seen.samples + 1.0).min(15.0);
+                b.seen.slowness += ((took / expected).min(10.0) - b.seen.slowness) / (5.0 + b.seen.samples);
             }
         }
         if outcome == Outcome::Cancelled || outcome == Outcome::Moot {
             // A client that left: late for it. More would shut the gate where an idle tier is too slow.
             if held.over && self.settings.stage == 0 {
-                self.learn_counts(Sample { sent_at: attempt.sent_at, stress: 1.0, spare: 0.0 }, out);
+                self.learn_counts(Sample { sent_at: attempt.sent_at, stress: 1.0 }, out);
             }
             return false;
         }
@@ -987,7 +940,7 @@
         // connection that did not come about, as while a zone is cut off.
         if ok || (sound && !silent && outcome != Outcome::ConnectFailed) {
             let stress = if ok { took / aim } else { FAILED_STRESS.max(took / aim) };
-            self.learn_counts(Sample { sent_at: attempt.sent_at, stress, spare }, out);
+            self.learn_counts(Sample { sent_at: attempt.sent_at, stress }, out);
         }
         found
     }
@@ -998,7 +951,7 @@
             self.rank_classes();
         }
         let crowded =
-            if self.settings.paced { self.usual.crowded(self.now, sample.stress) } else { f64::MAX };
+            if self.settings.paced { self.known.usual.crowded(self.now, sample.stress) } else { f64::MAX };
         // The more of the traffic yields, and can be cut first, the longer the rest may go on.
         let longer = (SENIOR_STRESS - TOP_STRESS) * self.yielding_part;
         let (late, crowded, longer) =
@@ -1007,22 +960,18 @@
             LEAST_COUNT.max(LEAST_EACH * self.backends.len() as f64 / f64::from(self.settings.fleet_size));
         let junior = Limit { late, crowded, least };
         let most = Limit { late: late + longer, crowded: crowded + longer, least };
-        let hard = self.tier.learn(self.now, sample, most);
+        let hard = self.known.tier.learn(self.now, sample, most);
         // All classes learn from every call: a class with a long aim would else never feel the load it makes.
-        for (node, yields) in self.classes.iter_mut().zip(&self.yielding) {
+        for (node, yields) in self.known.classes.iter_mut().zip(&self.yielding) {
             node.learn(self.now, sample, if *yields { junior } else { most });
         }
-        let stress = self.tier.stress;
-        self.calm *= 1.0 + CALM_DRIFT * (self.now - self.calm_at).min(1e4) / 1000.0;
-        self.calm_at = self.now;
-        if self.calm == 0.0 || stress < self.calm {
-            self.calm = stress;
-        }
-        let borrow_most = self.calm + BORROW_STRESS * (1.0 - self.calm).max(0.0);
+        let calm = self.known.calm.follow(self.now, self.known.tier.stress, CALM_DRIFT);
+        let borrow_most = calm + BORROW_STRESS * (1.0 - calm).max(0.0);
         let borrows = Limit { late: borrow_most, crowded: f64::MAX, least: LEAST_COUNT };
-        self.borrow.learn(self.now, sample, borrows);
+        self.known.borrow.learn(self.now, sample, borrows);
         if hard {
-            let (count, usual) = (self.tier.count, self.usual.least);
+            let (tier, usual) = (&self.known.tier, self.known.usual.least.value());
+            let (count, stress) = (tier.count, tier.stress);
             let line =
                 || format!("tier gate cut to {count:.1} in flight, stress {stress:.2}, usual {usual:.2}");
             self.log(actions, line);
@@ -1038,11 +987,11 @@
         }
         self.ranked_at = self.now;
         let now = self.now;
-        let asked: Vec<f64> = self.asked.iter().map(|f| f.read(now, ASKED_MS).max(1e-9)).collect();
+        let asked: Vec<f64> = self.known.asked.iter().map(|f| f.read(now, ASKED_MS).max(1e-9)).collect();
         let total: f64 = asked.iter().sum();
         let worth = |c: usize| self.settings.classes[c].worth;
         let mean: f64 = asked.iter().enumerate().map(|(c, n)| worth(c) * n / total).sum();
-        let got = |c: usize| self.passed[c].read(now, ASKED_MS) / asked[c];
+        let got = |c: usize| self.known.passed[c].read(now, ASKED_MS) / asked[c];
         let seen = (0..asked.len()).filter(|c| asked[*c] > 1.0);
         let worst = seen.min_by(|a, b| got(*a).total_cmp(&got(*b)));
         let mix = &self.settings.objective;
@@ -1055,26 +1004,6 @@
         self.yielding_part = asked.iter().zip(&self.yielding).filter(|p| *p.1).map(|p| p.0 / total).sum();
     }
 
-    fn learn_latency(&mut self, held: &Held, took: Millis) {
-        let latency = &mut self.latencies[held.class];
-        if latency.mean == 0.0 {
-            *latency = Latency { mean: took, dev: took / 2.0, hint: held.hint };
-        }
-        latency.dev += 0.05 * ((took - latency.mean).abs() - latency.dev);
-        latency.mean += 0.05 * (took - latency.mean);
-        latency.hint += 0.05 * (held.hint - latency.hint);
-    }
-
-    /// The latency to expect of a call, by its class and, where told, its work.
-    fn expected(&self, held: &Held) -> Millis {
-        let latency = &self.latencies[held.class];
-        if held.hint > 0.0 && latency.hint > 0.0 {
-            latency.mean * held.hint / latency.hint
-        } else {
-            latency.mean
-        }
-    }
-
     // ---- the pick ----
 
     /// Draws a backend at random by weight from this copy's subset, or one that is out for a trial, which it
@@ -1084,9 +1013,9 @@
         let now = self.now;
         let copies = f64::from(self.settings.fleet_size);
         let cover = SUBSET_COVER * self.backends.len() as f64 / copies;
-        let want = SUBSET_LEAST.max(cover).max(SUBSET_ROOM * self.tier.used);
-        let rate = self.served.read(now, RATE_MS) * 1000.0 / RATE_MS / self.subset_room.max(1e-9);
-        let usual = self.latencies[held.class].mean;
+        let want = SUBSET_LEAST.max(cover).max(SUBSET_ROOM * self.known.tier.used);
+        let rate = self.known.served.read(now, RATE_MS) * 1000.0 / RATE_MS / self.known.subset_room.max(1e-9);
+        let usual = self.known.latencies[held.class].mean;
         let hush = (SILENT * usual).max(SILENT_LEAST);
         let (mut weights, mut sick) = (std::mem::take(&mut self.weights), std::mem::take(&mut self.sick));
         weights.clear();
@@ -1129,7 +1058,7 @@
             }
         }
         self.choices = weights.len() + usize::from(trial.is_some());
-        let doubted = sick_room > DOUBT_PART * (sick_room + room) && self.tier.stress > DOUBT_STRESS;
+        let doubted = sick_room > DOUBT_PART * (sick_room + room) && self.known.tier.stress > DOUBT_STRESS;
         if weights.is_empty() || doubted {
             // None of them is believed to be sick, where all are or the rest can't bear it.
             weights.append(&mut sick);
@@ -1143,7 +1072,7 @@
             if b.out(held.class).is_some_and(|out| out.wait == TRIAL_MS) {
                 actions.push(said(b.info.id, Standing::Trial, None, None));
             }
-            let out = [&mut b.health, &mut b.by_class[held.class]];
+            let out = [&mut b.seen.health, &mut b.seen.by_class[held.class]];
             for out in out.into_iter().filter_map(|health| health.out.as_mut()) {
                 out.due = now + most;
             }
@@ -1156,19 +1085,19 @@
             return Some((i, true));
         }
         if held.may_have_run.is_none() {
-            self.subset_room = room;
+            self.known.subset_room = room;
         }
         let mean_load = calls / room.max(1e-9);
-        let overdue = OVERDUE * self.latencies[held.class].mean;
+        let overdue = OVERDUE * self.known.latencies[held.class].mean;
         // Other zones are for the overflow, and take over as the own one fails.
         let away = 1.0 / (1.0 + CROSSING_DEAR * self.settings.prices.cross_zone);
         // Under stress balance is worth more than the price.
         let away =
-            away.powf((1.0 - self.tier.stress / TOP_STRESS).max(0.0) * own_health / own_room.max(1e-9));
+            away.powf((1.0 - self.known.tier.stress / TOP_STRESS).max(0.0) * own_health / own_room.max(1e-9));
         for (i, weight) in &mut weights {
             *weight *= self.weight(*i, held, mean_load, overdue, away);
         }
-        let picked = draw(&weights, self.random());
+        let picked = weights.choose_weighted(&mut self.rng, |(_, weight)| *weight).ok().map(|(i, _)| *i);
         (self.weights, self.sick) = (weights, sick);
         picked.map(|i| (i, false))
     }
@@ -1179,7 +1108,7 @@
         let due = self.trials >= 1.0 || self.now - self.tried_at >= TRIAL_FREE_MS;
         let free = self.trials_once >= 1.0 || self.now - self.tried_at >= TRIAL_ONCE_MS;
         let harmless = out.unsent || !self.is_once(held) || free;
-        let purse = if out.unsent { self.unsent } else { self.retries };
+        let purse = if out.unsent { self.known.unsent } else { self.known.retries };
         held.attempts == 0 && due && harmless && purse >= 1.0
     }
 
@@ -1231,9 +1160,12 @@
     fn weight(&self, i: usize, held: &Held, mean_load: f64, overdue: Millis, away: f64) -> f64 {
         let b = &self.backends[i];
         let room = b.rating() * b.warmth(self.now, &self.settings.rules);
-        let load = 1.0 + b.load(self.now, self.latencies[held.class].mean) / room / (mean_load + 0.5);
-        let mut weight = 1.0 / (b.slowness.max(0.1).powi(3) * load.powi(8));
-        let excess = (b.faults.read(self.now) - self.faults.read(self.now) - FAULTS_CHANCE).max(0.0);
+        let load = 1.0 + b.load(self.now, self.known.latencies[held.class].mean) / room / (mean_load + 0.5);
+        let mut weight = 1.0 / (b.seen.slowness.max(0.1).powi(3) * load.powi(8));
+        let excess = (b.seen.faults.read(self.now, FAULTS_MS)
+            - self.known.faults.read(self.now, FAULTS_MS)
+            - FAULTS_CHANCE)
+            .max(0.0);
         weight *= (1.0 - excess).powi(FAULTS_DEAR);
         // A hang shows first as silence: calls out for long and nothing answered since.
         if overdue > 0.0 && self.now - b.oldest_sent > overdue && b.answered_at < b.oldest_sent {
@@ -1249,7 +1181,7 @@
     }
 
     fn random(&mut self) -> f64 {
-        uniform(&mut self.rng)
+        self.rng.random()
     }
 
     /// Writes a line at most once in five seconds.
