Keep the module's comments within their width

The test that compares `policy` with the folder was tried with src/choice/record.rs left out of the deploy file, and fails then.

--- a/src/choice/record.rs
+++ b/src/choice/record.rs
@@ -53,8 +53,8 @@
             .collect()
     }
 
-    /// Tells of copies that serve beside this one as one with it for a while: how many they are, and what they
-    /// have in flight, as [`Balancer::in_flight`] gives it.
+    /// Tells of copies that serve beside this one as one with it for a while: how many they are, and what
+    /// they have in flight, as [`Balancer::in_flight`] gives it.
     pub fn beside(&mut self, others: usize, in_flight: &[f64]) {
         self.beside = others as f64;
         let nodes = [&mut self.known.tier, &mut self.known.borrow].into_iter().chain(&mut self.known.classes);
