Refuse a request rather than drop its connection for want of room; trace single requests

Two were dewrun's own: `Server::accept` let a connection go that there was no room for, with the request that was written on it, and a connection told to give way (`Closing::Now`) went with what was unread on it, or with a body on its way. Both ended as a reset.

Change: such a request is answered 503 with Retry-After, `Connection: close`, and its caller is read from for 0.3 s, so that it sees the answer; twelve connections at once are turned away so, of the descriptors that no side has. In the last moments of a stop whatever still comes is refused, not left.

--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -71,6 +71,8 @@
     pub format: LogFormat,
     /// Lines a second over time; ten seconds' worth may come at once.
     pub lines_per_s: u32,
+    /// Whether single requests are traced.
+    pub trace: bool,
 }
 
 /// Where callers connect.
@@ -360,7 +362,7 @@
 }
 
 fn read_log(root: &Section) -> Log {
-    let usual = Log { format: LogFormat::Logfmt, lines_per_s: 10 };
+    let usual = Log { format: LogFormat::Logfmt, lines_per_s: 10, trace: false };
     let Some(s) = root.section("log") else { return usual };
     let format = match s.string("format") {
         None => usual.format,
@@ -372,8 +374,9 @@
         }
     };
     let lines_per_s = s.whole("lines_per_s", u64::from(usual.lines_per_s), 1..10_001) as u32;
+    let trace = s.boolean("trace", usual.trace);
     s.finish();
-    Log { format, lines_per_s }
+    Log { format, lines_per_s, trace }
 }
 
 /// Reads a section's name and notes one that stands already.
--- a/crates/config/tests/installation.rs
+++ b/crates/config/tests/installation.rs
@@ -68,7 +68,7 @@
         (Some("edge-1"), 4, 2)
     );
     assert_eq!((it.limits.kept_body, it.limits.sockets, it.limits.memory), (32 << 10, 512, 192 << 20));
-    assert_eq!(it.log, Log { format: LogFormat::Json, lines_per_s: 50 });
+    assert_eq!(it.log, Log { format: LogFormat::Json, lines_per_s: 50, trace: false });
     assert_eq!((it.pools[0].repeats, it.pools[1].repeats), (0.2, 0.1));
     assert!(it.listeners[0].trusted[0].contains("10.1.2.3".parse().expect("an address")));
     assert!(matches!(&it.pools[0].membership, Membership::Static(m) if m.len() == 2 && m[1].weight == 2.5));
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -9,6 +9,7 @@
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
+use tracing_subscriber::filter::{LevelFilter, Targets};
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::{Layer, Registry};
@@ -115,11 +116,22 @@
     }
 }
 
-/// What turns events of level info and above into lines.
-pub fn subscriber<W>(out: W, format: Format, per_s: u32) -> impl tracing::Subscriber + Send + Sync
+/// The target of the trace of single requests: its events are of level debug, and written only where asked for.
+pub const TRACE: &str = "dewrun::request";
+/// How many lines a second there may be with a trace: a line is some 150 bytes.
+const TRACE_LINES_PER_S: u32 = 20_000;
+
+/// What turns events of level info and above into lines, and with `trace` those of single requests too.
+pub fn subscriber<W>(
+    out: W,
+    format: Format,
+    per_s: u32,
+    trace: bool,
+) -> impl tracing::Subscriber + Send + Sync
 where
     W: Write + Send + 'static,
 {
+    let per_s = if trace { per_s.max(TRACE_LINES_PER_S) } else { per_s };
     let writer = Bounded::new(out, Bound::new(per_s), format);
     let layer: Box<dyn Layer<Registry> + Send + Sync> = match format {
         Format::Logfmt => Box::new(tracing_logfmt::builder().with_target(false).layer().with_writer(writer)),
@@ -131,10 +143,12 @@
                 .with_writer(writer),
         ),
     };
-    Registry::default().with(layer.with_filter(tracing_subscriber::filter::LevelFilter::INFO))
+    let usual = Targets::new().with_default(LevelFilter::INFO);
+    let wanted = if trace { usual.with_target(TRACE, LevelFilter::DEBUG) } else { usual };
+    Registry::default().with(layer.with_filter(wanted))
 }
 
 /// Starts the log of this process on standard error. A second call changes nothing.
-pub fn start(format: Format, per_s: u32) {
-    let _ = tracing::subscriber::set_global_default(subscriber(io::stderr(), format, per_s));
+pub fn start(format: Format, per_s: u32, trace: bool) {
+    let _ = tracing::subscriber::set_global_default(subscriber(io::stderr(), format, per_s, trace));
 }
--- a/crates/logging/tests/lines.rs
+++ b/crates/logging/tests/lines.rs
@@ -21,7 +21,7 @@
 
 fn lines(format: Format, per_s: u32, work: impl FnOnce()) -> Vec<String> {
     let kept = Kept::default();
-    tracing::subscriber::with_default(subscriber(kept.clone(), format, per_s), work);
+    tracing::subscriber::with_default(subscriber(kept.clone(), format, per_s, false), work);
     let text = String::from_utf8(kept.0.lock().unwrap().clone()).expect("text");
     text.lines().map(String::from).collect()
 }
@@ -74,6 +74,23 @@
             Ok(())
         }
     }
-    let log = subscriber(Broken, Format::Logfmt, 10);
+    let log = subscriber(Broken, Format::Logfmt, 10, false);
     tracing::subscriber::with_default(log, || tracing::info!("unheard"));
 }
+
+#[test]
+fn single_requests_are_traced_only_where_that_is_asked_for() {
+    let traced = |trace| {
+        let kept = Kept::default();
+        let log = subscriber(kept.clone(), Format::Logfmt, 1, trace);
+        tracing::subscriber::with_default(log, || {
+            for n in 0..500 {
+                tracing::debug!(target: dewrun_logging::TRACE, event = "taken", id = n);
+            }
+            tracing::debug!("of no request");
+        });
+        let text = String::from_utf8(kept.0.lock().unwrap().clone()).expect("text");
+        text.lines().filter(|line| line.contains("event=taken")).count()
+    };
+    assert_eq!((traced(false), traced(true)), (0, 500), "and not within the bound of the log");
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -45,6 +45,9 @@
     /// Where a backend listens, as IP:PORT; more may follow
     #[arg(long, value_name = "ADDR", num_args = 1.., requires = "listen")]
     pub backend: Vec<SocketAddr>,
+    /// Trace each request in the log, whatever the file says
+    #[arg(long)]
+    pub trace: bool,
 }
 
 impl Serve {
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
     pub mod pool;
     pub mod server;
     pub mod stream;
+    pub mod trace;
     pub mod upstream;
 }
 mod serve;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,6 +4,8 @@
 //! at a time, and one outcome for each send.
 
 use super::discovery::{self, Directory, List};
+use super::server::single;
+use super::trace::step;
 use super::upstream::{Answer, AttemptTimes, Ended, Inbound, Upstream};
 use hyper::StatusCode;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -91,6 +93,11 @@
 }
 
 impl Open {
+    /// The id that its caller gave it, for the trace.
+    fn id(&self) -> &str {
+        single(&self.inbound.headers, "request-id").unwrap_or("-")
+    }
+
     /// The final answer, if none was given: a backend's last word goes before what would be said here.
     fn finish(&mut self, with: Final) {
         if let Some(answer) = self.answer.take() {
@@ -291,8 +298,17 @@
             out: None,
             last_word: None,
         };
-        state.open.insert(id, open);
         let ttl = asked.deadline.saturating_duration_since(Instant::now());
+        step!(
+            event = "taken",
+            id = open.id(),
+            pool = self.name,
+            class = self.classes.get(usize::from(asked.class)),
+            tenant = asked.tenant,
+            retry = asked.repeat,
+            left_ms = ttl.as_millis() as u64
+        );
+        state.open.insert(id, open);
         let event = Event::Request {
             id,
             key: asked.key,
@@ -314,6 +330,12 @@
         if open.answer.is_none() {
             return;
         }
+        step!(
+            event = "answer",
+            id = open.id(),
+            answer = "failed",
+            why = "its caller left, or its time is over"
+        );
         open.finish(Final::Failed);
         self.handle(state, Happening::Event(Event::ClientGone { request: id }));
         Driver::forget(state, id);
@@ -329,6 +351,15 @@
         let state = &mut *self.state.borrow_mut();
         let Some(open) = state.open.get_mut(&request) else { return };
         let Some(out) = open.out.take() else { return };
+        let took_ms = ended.at.saturating_duration_since(sent).as_secs_f64() * 1000.0;
+        step!(
+            event = "outcome",
+            id = open.id(),
+            attempt = out.attempt,
+            member = state.directory.name(backend),
+            outcome = ?ended.outcome,
+            took_ms
+        );
         open.last_word = ended.last_word.or(open.last_word.take());
         let last = match (ended.answer, ended.rejected) {
             (Some(answer), _) => Some(Final::Served(answer)),
@@ -337,6 +368,7 @@
         };
         if let Some(last) = last {
             if let Some(sender) = open.answer.take() {
+                step!(event = "answer", id = open.id(), answer = "a backend's");
                 let _ = sender.send(last);
             }
         }
@@ -345,7 +377,7 @@
             attempt: out.attempt,
             backend,
             outcome: ended.outcome,
-            took_ms: ended.at.saturating_duration_since(sent).as_secs_f64() * 1000.0,
+            took_ms,
             ended: open.answer.is_none(),
             report: ended.report,
         };
@@ -359,6 +391,7 @@
         let Some(open) = state.open.get_mut(&request) else { return };
         let attempt = open.out.as_ref().map_or(0, |out| out.attempt);
         if let Some(sender) = open.answer.take() {
+            step!(event = "answer", id = open.id(), answer = "a backend's, as it comes");
             let _ = sender.send(Final::Served(answer));
         }
         let took_ms = sent.elapsed().as_secs_f64() * 1000.0;
@@ -398,10 +431,22 @@
             }
             Action::Refuse { request, retry_after_ms, why } => {
                 self.count(state, why, |unserved| &mut unserved.refused);
+                if let Some(open) = state.open.get(&request) {
+                    step!(
+                        event = "answer",
+                        id = open.id(),
+                        answer = "refused",
+                        why = why.text(),
+                        retry_after_ms
+                    );
+                }
                 Driver::finish(state, request, Final::Refused(retry_after_ms));
             }
             Action::Fail { request, why } => {
                 self.count(state, why, |unserved| &mut unserved.failed);
+                if let Some(open) = state.open.get(&request) {
+                    step!(event = "answer", id = open.id(), answer = "failed", why = why.text());
+                }
                 Driver::finish(state, request, Final::Failed);
             }
             Action::Cancel { request, attempt } => {
@@ -522,6 +567,8 @@
         let (cancel, cancelled) = oneshot::channel();
         open.out = Some(Out { attempt: open.attempts as u8, backend, cancel: Some(cancel) });
         open.attempts += 1;
+        let (number, member) = (open.attempts, state.directory.name(backend));
+        step!(event = "attempt", id = open.id(), attempt = number - 1, member, timeout_ms);
         let sent = Instant::now();
         let times = AttemptTimes {
             deadline: open.deadline,
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -179,6 +179,26 @@
         .await;
     }
 
+    /// Whether the peer has sent something that was not read yet. Asks the socket itself.
+    pub fn has_unread(&self) -> bool {
+        matches!(SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]), Ok(1..))
+    }
+
+    /// Waits until there is something to read, or the peer has gone.
+    pub async fn readable(&self) {
+        let _ = self.stream.readable().await;
+    }
+
+    /// Says a last word on a connection on which nothing else is being said, and reads on for as long as the peer writes,
+    /// so that it gets to see the word and not a reset.
+    pub async fn say_last(&self, word: &[u8]) {
+        if let Ok(n) = self.stream.try_write(word) {
+            if n == word.len() {
+                self.drain().await;
+            }
+        }
+    }
+
     /// Whether the peer holds the connection open and has sent nothing that is still unread. Asks the
     /// socket itself: the runtime's own view may be one turn old.
     pub fn is_quiet(&self) -> bool {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -4,6 +4,7 @@
 use super::io::{out_of_descriptors, Wire};
 use super::limits::{self, Limits, Taken, READ_AHEAD};
 use super::stream::ReplyBody;
+use super::trace::step;
 use bytes::Bytes;
 use dewrun_control::{Due, Plan};
 use http_body_util::Full;
@@ -34,6 +35,13 @@
 const STAYED: Duration = Duration::from_secs(2);
 /// When a caller that there is no room for may come back.
 pub const NO_ROOM_MS: f64 = 500.0;
+/// What is said to a request that there is no room for, before it is read: nothing of it has run.
+const NO_ROOM: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n\
+    Content-Length: 7\r\n\r\nrefused";
+/// How long a connection is kept for that: for its request to come, and for its caller to read the answer.
+const TURN_AWAY: Duration = Duration::from_millis(300);
+/// How many connections are kept for that at once, of the descriptors that no side has.
+const TURNED_AWAY: usize = 12;
 /// How long a connection that is to close may take over what it has begun.
 const CLOSE_GRACE: Duration = Duration::from_secs(2);
 /// The module answers at the deadline. If it has not so long after, the driver does.
@@ -234,12 +242,15 @@
     times: Times,
     next: Cell<u64>,
     leave: Rc<Leave>,
+    /// Held once for each connection that is being turned away.
+    turned_away: Rc<()>,
 }
 
 impl<F: Front> Server<F> {
     /// A server for callers.
     pub fn new(front: Rc<F>, limits: Rc<Limits>, times: Times, leave: Rc<Leave>) -> Rc<Server<F>> {
-        Rc::new(Server { front, callers: RefCell::default(), limits, times, next: Cell::new(0), leave })
+        let (callers, next, turned_away) = Default::default();
+        Rc::new(Server { front, callers, limits, times, next, leave, turned_away })
     }
 
     /// Accepts for ever. Goes on while stopping: what the kernel has taken in counts as taken. Beyond the
@@ -262,6 +273,10 @@
                         // usual caller gives way to ones that have brought nothing yet.
                         let caller = self.register(stream, counted, door);
                         spawn_local(self.clone().connection(caller));
+                    } else if Rc::strong_count(&self.turned_away) <= TURNED_AWAY {
+                        spawn_local(turn_away(Wire::new(stream), self.turned_away.clone()));
+                    } else {
+                        step!(event = "dropped", why = "no room to turn it away");
                     }
                 }
                 // Guards against an end of the loop: out of descriptors, idle connections give way.
@@ -341,9 +356,14 @@
             self.close_idle(rest);
         }
         if due.begun {
-            for caller in self.callers.borrow().values().filter(|c| !c.taken.get()) {
-                caller.close(Closing::Now);
-            }
+            self.close_waiting();
+        }
+    }
+
+    /// Closes all connections of which no request is taken.
+    fn close_waiting(&self) {
+        for caller in self.callers.borrow().values().filter(|c| !c.taken.get()) {
+            caller.close(Closing::Now);
         }
     }
 
@@ -359,7 +379,9 @@
         }
         self.front.close_all();
         let last = Instant::now();
-        while self.callers.borrow().values().any(|c| c.taken.get()) && last.elapsed() < STOP_LAST {
+        // Callers go on connecting until the process has gone: what they ask now is refused, not left.
+        while !self.callers.borrow().is_empty() && last.elapsed() < STOP_LAST {
+            self.close_waiting();
             sleep(Duration::from_millis(5)).await;
         }
         // Time for the last answers to be written.
@@ -382,6 +404,7 @@
             _counted: counted,
         });
         self.callers.borrow_mut().insert(number, caller.clone());
+        step!(event = "connected", connection = number, door);
         caller
     }
 
@@ -394,7 +417,7 @@
             .max_buf_size(READ_AHEAD)
             .serve_connection(self.front.io(caller.wire.clone()), service);
         tokio::pin!(serving);
-        loop {
+        let why = loop {
             tokio::select! {
                 biased;
                 // An error here is the caller's leaving or nonsense instead of HTTP; both end with the
@@ -407,21 +430,29 @@
                             () = caller.close.notified() => {}
                         }
                     }
-                    break;
+                    break "over";
                 }
                 () = caller.close.notified() => match caller.closing.get() {
-                    Closing::Now if !caller.taken.get() => break,
+                    Closing::Now if !caller.taken.get() => break "gives way",
                     _ => serving.as_mut().graceful_shutdown(),
                 },
                 // Guards against a head that never ends, which a graceful end would await for ever. One that
                 // did end meanwhile is a request taken: it is served.
                 () = sleep(CLOSE_GRACE), if caller.closing.get() != Closing::No => {
                     if !caller.taken.get() {
-                        break;
+                        break "does not end";
                     }
                 }
             }
+        };
+        // Guards a request that came whole, or comes, while its connection is told to give way: it is answered.
+        let coming = caller.reading.get() || caller.wire.has_unread();
+        let unread = why != "over" && !caller.wire.is_stuck() && coming;
+        if unread {
+            let _ = timeout(TURN_AWAY, caller.wire.say_last(NO_ROOM)).await;
         }
+        let (connection, asked) = (caller.number, caller.asked.get());
+        step!(event = "disconnected", connection, why, asked, unread);
         self.callers.borrow_mut().remove(&caller.number);
     }
 
@@ -446,10 +477,19 @@
             // Guards the others against one that asks again as soon as it is turned away.
             yield_now().await;
         }
+        step!(event = "answered", connection = caller.number, status = reply.status().as_u16());
         reply
     }
 }
 
+/// Refuses what comes on a connection that there is no room for, once it has come.
+async fn turn_away(wire: Rc<Wire>, _counted: Rc<()>) {
+    if timeout(TURN_AWAY, wire.readable()).await.is_ok() {
+        step!(event = "turned away", why = "no room for its connection");
+        let _ = timeout(TURN_AWAY, wire.say_last(NO_ROOM)).await;
+    }
+}
+
 /// The value of a header that stands there once.
 pub fn single<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     let mut values = headers.get_all(name).iter();
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -27,7 +27,7 @@
         LogFormat::Logfmt => dewrun_logging::Format::Logfmt,
         LogFormat::Json => dewrun_logging::Format::Json,
     };
-    dewrun_logging::start(format, config.log.lines_per_s);
+    dewrun_logging::start(format, config.log.lines_per_s, asked.trace || config.log.trace);
     let watch = |kind, name: &str| signal(kind).map_err(|e| format!("{name}: {e}"));
     let mut reload = watch(SignalKind::hangup(), "SIGHUP")?;
     let mut term = watch(SignalKind::terminate(), "SIGTERM")?;
