Mend a panic of the module on a list that names absurd weights

A discovery that names a weight of 1e308 for two backends was enough to end the process; no list is to be trusted that far.

Change: a rating is believed up to 1e9 and down to its inverse, which bounds all sums made of it too. What ended an attempt has a name in place of `end.0`, and a backend's record is made in one step.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -121,6 +121,8 @@
 /// ended.
 const SILENT: f64 = 8.0;
 const SILENT_LEAST: Millis = 250.0;
+/// The largest rating that is believed: guards against a list whose sizes can't be summed up.
+const RATING_MOST: f64 = 1e9;
 /// The fewest healthy backends a copy draws from, where the tier has more ...
 const SUBSET_LEAST: f64 = 8.0;
 /// ... so that each backend hears from this many copies, and none stands or falls with one of them ...
@@ -332,11 +334,11 @@
 
 impl Backend {
     fn new(info: BackendInfo, tokens: f64, classes: usize, now: Millis) -> Backend {
-        let (faults, health, by_class) = Default::default();
-        let seen = Seen { faults, health, by_class, slowness: 1.0, samples: 0.0, revived_at: None };
+        let (faults, health) = Default::default();
+        let by_class = vec![health; classes];
         Backend {
             info,
-            seen: Seen { by_class: vec![health; classes], ..seen },
+            seen: Seen { faults, health, by_class, slowness: 1.0, samples: 0.0, revived_at: None },
             in_flight: 0.0,
             oldest_sent: f64::MAX,
             answered_at: f64::MIN,
@@ -348,7 +350,8 @@
     }
 
     fn rating(&self) -> f64 {
-        Some(self.info.rating).filter(|r| *r > 0.0 && r.is_finite()).unwrap_or(1.0)
+        let told = Some(self.info.rating).filter(|r| *r > 0.0 && r.is_finite()).unwrap_or(1.0);
+        told.clamp(1.0 / RATING_MOST, RATING_MOST)
     }
 
     /// The part of its capacity it has for certain by now.
@@ -386,6 +389,9 @@
     }
 }
 
+/// How an attempt ended, and how long it took.
+type End = (Outcome, Millis);
+
 /// What one finished call teaches a node.
 #[derive(Clone, Copy)]
 struct Sample {
@@ -800,10 +806,11 @@
         }
     }
 
-    fn on_outcome(&mut self, id: RequestId, end: (Outcome, Millis), ended: bool, actions: &mut Vec<Action>) {
+    fn on_outcome(&mut self, id: RequestId, end: End, ended: bool, actions: &mut Vec<Action>) {
         let Some(mut held) = self.held.remove(&id) else { return };
         let Some(attempt) = held.out.take() else { return };
-        if !end.0.never_ran() && held.may_have_run.is_none() {
+        let (outcome, _) = end;
+        if !outcome.never_ran() && held.may_have_run.is_none() {
             // As it was known at the send: a backend that has left the list since must not make this
             // forgotten.
             held.may_have_run = Some((attempt.to, attempt.sent_at));
@@ -821,10 +828,10 @@
         // One that was not sent because its backend left the list meanwhile costs a tier nothing; and the
         // call that found out a backend was of use to all that follow, as long as the tier serves some.
         let left = |i: &usize| self.backends[*i].info.state != BackendState::Ready;
-        let unsent = end.0 == Outcome::ConnectFailed;
+        let unsent = outcome == Outcome::ConnectFailed;
         let found = found && std::mem::take(&mut self.finds);
         let free = found || unsent && self.index.get(&attempt.to.id).is_none_or(left);
-        let permitted = self.may_repeat(&held, end.0);
+        let permitted = self.may_repeat(&held, outcome);
         let purse = if unsent { &mut self.known.unsent } else { &mut self.known.retries };
         if permitted && (free || *purse >= 1.0) {
             *purse -= f64::from(u8::from(!free));
@@ -848,13 +855,7 @@
     // ---- learning ----
 
     /// Learns from an attempt that has ended; true if it has put its backend out of the draw.
-    fn learn(
-        &mut self,
-        held: &Held,
-        attempt: Attempt,
-        end: (Outcome, Millis),
-        out: &mut Vec<Action>,
-    ) -> bool {
+    fn learn(&mut self, held: &Held, attempt: Attempt, end: End, out: &mut Vec<Action>) -> bool {
         let (outcome, took) = end;
         let aim = self.settings.classes[held.class].aim_ms;
         let took = if took.is_finite() { took.max(0.0) } else { self.now - attempt.sent_at };
--- a/tests/pick.rs
+++ b/tests/pick.rs
@@ -101,3 +101,20 @@
     assert!(failing < 20, "{failing} of 200 calls of the class that it fails");
     assert!(served > 2 * failing, "{served} calls of the class that it serves, {failing} of the other");
 }
+
+#[test]
+fn ratings_of_any_size_are_drawn_from() {
+    // Discovery is not trusted to name a size that can be summed up.
+    for rating in [1e308, f64::MAX, f64::MIN_POSITIVE, 0.0, -1.0, f64::NAN, f64::INFINITY] {
+        let odd: Vec<BackendInfo> = backends(3).into_iter().map(|b| BackendInfo { rating, ..b }).collect();
+        for list in [odd.clone(), [&odd[..1], &backends(3)[1..]].concat()] {
+            let mut proxy = Proxy::new(settings(), &list);
+            for _ in 0..20 {
+                proxy.now += 50.0;
+                let sent =
+                    proxy.ask(0, 0, 4_000.0).unwrap_or_else(|| panic!("rating {rating}: nothing sent"));
+                proxy.end(sent, Outcome::Ok);
+            }
+        }
+    }
+}
