--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -40,6 +40,19 @@
     LastWord(Answer),
 }
 
+impl Final {
+    /// Its name in the trace.
+    fn name(&self) -> &'static str {
+        match self {
+            Final::Served(_) => "served",
+            Final::Refused(_) => "refused",
+            Final::Failed => "failed",
+            Final::Rejected(_) => "rejected",
+            Final::LastWord(_) => "last word",
+        }
+    }
+}
+
 /// What a request is, in the module's terms.
 pub struct Asked {
     /// Its class.
@@ -98,11 +111,18 @@
         single(&self.inbound.headers, "request-id").unwrap_or("-")
     }
 
-    /// The final answer, if none was given: a backend's last word goes before what would be said here.
-    fn finish(&mut self, with: Final) {
-        if let Some(answer) = self.answer.take() {
-            let _ = answer.send(self.last_word.take().map_or(with, Final::LastWord));
-        }
+    /// Gives the final answer, if none was given. All answers are given here.
+    fn answer(&mut self, with: Final, why: &'static str) {
+        let Some(answer) = self.answer.take() else { return };
+        let after_ms = if let Final::Refused(after_ms) = with { Some(after_ms) } else { None };
+        step!(event = "answer", id = self.id(), answer = with.name(), why, retry_after_ms = after_ms);
+        let _ = answer.send(with);
+    }
+
+    /// The same, but that a backend's last word goes before what would be said here.
+    fn finish(&mut self, with: Final, why: &'static str) {
+        let with = self.last_word.take().map_or(with, Final::LastWord);
+        self.answer(with, why);
     }
 }
 
@@ -330,13 +350,7 @@
         if open.answer.is_none() {
             return;
         }
-        step!(
-            event = "answer",
-            id = open.id(),
-            answer = "failed",
-            why = "its caller left, or its time is over"
-        );
-        open.finish(Final::Failed);
+        open.finish(Final::Failed, "its caller left, or its time is over");
         self.handle(state, Happening::Event(Event::ClientGone { request: id }));
         Driver::forget(state, id);
     }
@@ -367,10 +381,7 @@
             (None, None) => None,
         };
         if let Some(last) = last {
-            if let Some(sender) = open.answer.take() {
-                step!(event = "answer", id = open.id(), answer = "a backend's");
-                let _ = sender.send(last);
-            }
+            open.answer(last, "a backend's answer");
         }
         let event = Event::Outcome {
             request,
@@ -390,10 +401,7 @@
         let state = &mut *self.state.borrow_mut();
         let Some(open) = state.open.get_mut(&request) else { return };
         let attempt = open.out.as_ref().map_or(0, |out| out.attempt);
-        if let Some(sender) = open.answer.take() {
-            step!(event = "answer", id = open.id(), answer = "a backend's, as it comes");
-            let _ = sender.send(Final::Served(answer));
-        }
+        open.answer(Final::Served(answer), "a backend's answer, as it comes");
         let took_ms = sent.elapsed().as_secs_f64() * 1000.0;
         self.handle(state, Happening::Event(Event::FirstByte { request, attempt, backend, took_ms }));
     }
@@ -431,23 +439,11 @@
             }
             Action::Refuse { request, retry_after_ms, why } => {
                 self.count(state, why, |unserved| &mut unserved.refused);
-                if let Some(open) = state.open.get(&request) {
-                    step!(
-                        event = "answer",
-                        id = open.id(),
-                        answer = "refused",
-                        why = why.text(),
-                        retry_after_ms
-                    );
-                }
-                Driver::finish(state, request, Final::Refused(retry_after_ms));
+                Driver::finish(state, request, Final::Refused(retry_after_ms), why.text());
             }
             Action::Fail { request, why } => {
                 self.count(state, why, |unserved| &mut unserved.failed);
-                if let Some(open) = state.open.get(&request) {
-                    step!(event = "answer", id = open.id(), answer = "failed", why = why.text());
-                }
-                Driver::finish(state, request, Final::Failed);
+                Driver::finish(state, request, Final::Failed, why.text());
             }
             Action::Cancel { request, attempt } => {
                 let out = state.open.get_mut(&request).and_then(|open| open.out.as_mut());
@@ -521,9 +517,9 @@
         }
     }
 
-    fn finish(state: &mut State, request: RequestId, with: Final) {
+    fn finish(state: &mut State, request: RequestId, with: Final, why: &'static str) {
         if let Some(open) = state.open.get_mut(&request) {
-            open.finish(with);
+            open.finish(with, why);
         }
         Driver::forget(state, request);
     }
@@ -545,7 +541,7 @@
         let place = state.directory.place(backend);
         if state.open.get(&request).is_some_and(|open| open.out.is_none() && open.inbound.body.is_spent()) {
             // A part of its body has gone out and is not here any more: it may have run, whatever its class allows.
-            Driver::finish(state, request, Final::Failed);
+            Driver::finish(state, request, Final::Failed, "a part of its body went out and is not kept");
         }
         let open = state.open.get_mut(&request);
         // Guards the rules whatever the module says: nothing for a request that is over, no second copy, no
@@ -567,8 +563,13 @@
         let (cancel, cancelled) = oneshot::channel();
         open.out = Some(Out { attempt: open.attempts as u8, backend, cancel: Some(cancel) });
         open.attempts += 1;
-        let (number, member) = (open.attempts, state.directory.name(backend));
-        step!(event = "attempt", id = open.id(), attempt = number - 1, member, timeout_ms);
+        step!(
+            event = "attempt",
+            id = open.id(),
+            attempt = open.attempts - 1,
+            member = state.directory.name(backend),
+            timeout_ms
+        );
         let sent = Instant::now();
         let times = AttemptTimes {
             deadline: open.deadline,
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -192,10 +192,8 @@
     /// Says a last word on a connection on which nothing else is being said, and reads on for as long as the peer writes,
     /// so that it gets to see the word and not a reset.
     pub async fn say_last(&self, word: &[u8]) {
-        if let Ok(n) = self.stream.try_write(word) {
-            if n == word.len() {
-                self.drain().await;
-            }
+        if self.stream.try_write(word).is_ok_and(|n| n == word.len()) {
+            self.drain().await;
         }
     }
 
--- a/src/net/limits.rs
+++ b/src/net/limits.rs
@@ -8,6 +8,8 @@
 
 /// Descriptors kept for the listener, discovery, the runtime and the standard streams.
 const RESERVED_SOCKETS: usize = 32;
+/// How many of them connections may have that there is no room for, until what comes on them is refused.
+const TURNED_AWAY: usize = 12;
 /// Part of the memory that bodies and answers may take. On its way each byte is held up to three times: as it
 /// was read, as it is passed on, and in the buffer that is written.
 const BODY_PART: usize = 4;
@@ -102,6 +104,8 @@
     pub callers: Rc<Share>,
     /// Connections to backends.
     pub upstream: Rc<Share>,
+    /// Callers' connections that there is no room for.
+    pub turned_away: Rc<Share>,
     /// Bytes of bodies, from callers and from backends.
     pub bytes: Rc<Share>,
     /// The largest body that is held whole.
@@ -116,6 +120,7 @@
         Rc::new(Limits {
             callers: Share::new(side),
             upstream: Share::new(side),
+            turned_away: Share::new(TURNED_AWAY),
             bytes: Share::new(bytes.max(2 * body_most)),
             body_most,
         })
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -40,8 +40,6 @@
     Content-Length: 7\r\n\r\nrefused";
 /// How long a connection is kept for that: for its request to come, and for its caller to read the answer.
 const TURN_AWAY: Duration = Duration::from_millis(300);
-/// How many connections are kept for that at once, of the descriptors that no side has.
-const TURNED_AWAY: usize = 12;
 /// How long a connection that is to close may take over what it has begun.
 const CLOSE_GRACE: Duration = Duration::from_secs(2);
 /// The module answers at the deadline. If it has not so long after, the driver does.
@@ -242,15 +240,12 @@
     times: Times,
     next: Cell<u64>,
     leave: Rc<Leave>,
-    /// Held once for each connection that is being turned away.
-    turned_away: Rc<()>,
 }
 
 impl<F: Front> Server<F> {
     /// A server for callers.
     pub fn new(front: Rc<F>, limits: Rc<Limits>, times: Times, leave: Rc<Leave>) -> Rc<Server<F>> {
-        let (callers, next, turned_away) = Default::default();
-        Rc::new(Server { front, callers, limits, times, next, leave, turned_away })
+        Rc::new(Server { front, callers: RefCell::default(), limits, times, next: Cell::new(0), leave })
     }
 
     /// Accepts for ever. Goes on while stopping: what the kernel has taken in counts as taken. Beyond the
@@ -273,8 +268,8 @@
                         // usual caller gives way to ones that have brought nothing yet.
                         let caller = self.register(stream, counted, door);
                         spawn_local(self.clone().connection(caller));
-                    } else if Rc::strong_count(&self.turned_away) <= TURNED_AWAY {
-                        spawn_local(turn_away(Wire::new(stream), self.turned_away.clone()));
+                    } else if let Some(counted) = self.limits.turned_away.take(1) {
+                        spawn_local(turn_away(Wire::new(stream), counted));
                     } else {
                         step!(event = "dropped", why = "no room to turn it away");
                     }
@@ -417,7 +412,8 @@
             .max_buf_size(READ_AHEAD)
             .serve_connection(self.front.io(caller.wire.clone()), service);
         tokio::pin!(serving);
-        let why = loop {
+        // Why it ends before its protocol has.
+        let forced = loop {
             tokio::select! {
                 biased;
                 // An error here is the caller's leaving or nonsense instead of HTTP; both end with the
@@ -430,29 +426,34 @@
                             () = caller.close.notified() => {}
                         }
                     }
-                    break "over";
+                    break None;
                 }
                 () = caller.close.notified() => match caller.closing.get() {
-                    Closing::Now if !caller.taken.get() => break "gives way",
+                    Closing::Now if !caller.taken.get() => break Some("gives way"),
                     _ => serving.as_mut().graceful_shutdown(),
                 },
                 // Guards against a head that never ends, which a graceful end would await for ever. One that
                 // did end meanwhile is a request taken: it is served.
                 () = sleep(CLOSE_GRACE), if caller.closing.get() != Closing::No => {
                     if !caller.taken.get() {
-                        break "does not end";
+                        break Some("does not end");
                     }
                 }
             }
         };
         // Guards a request that came whole, or comes, while its connection is told to give way: it is answered.
         let coming = caller.reading.get() || caller.wire.has_unread();
-        let unread = why != "over" && !caller.wire.is_stuck() && coming;
+        let unread = forced.is_some() && !caller.wire.is_stuck() && coming;
         if unread {
             let _ = timeout(TURN_AWAY, caller.wire.say_last(NO_ROOM)).await;
         }
-        let (connection, asked) = (caller.number, caller.asked.get());
-        step!(event = "disconnected", connection, why, asked, unread);
+        step!(
+            event = "disconnected",
+            connection = caller.number,
+            why = forced.unwrap_or("over"),
+            asked = caller.asked.get(),
+            unread
+        );
         self.callers.borrow_mut().remove(&caller.number);
     }
 
@@ -483,7 +484,7 @@
 }
 
 /// Refuses what comes on a connection that there is no room for, once it has come.
-async fn turn_away(wire: Rc<Wire>, _counted: Rc<()>) {
+async fn turn_away(wire: Rc<Wire>, _counted: Taken) {
     if timeout(TURN_AWAY, wire.readable()).await.is_ok() {
         step!(event = "turned away", why = "no room for its connection");
         let _ = timeout(TURN_AWAY, wire.say_last(NO_ROOM)).await;
