Ask for all that can have changed directly before the first byte; a watch within its budget

Looked at: the module compares with the window when it decides (choice.rs, may_repeat), and its group is as at the send. To blame: Upstream::attempt asked after the connection had come up, up to 0.2 s later, for drains alone. Excluded by reading: a repeat of a pooled connection (only with no byte written) and the module's clock (it is read before the driver's). Not caught in the act: with the trace on the times shift.

Driver::may_begin is now the one place that is asked directly before the first byte: the request is owed an answer, its client is there, its window has not passed, its backend is ready where it stood. The window holds up to the last byte.

Beside it, found by reading for crossings, each with a test that fails without its guard: - A client that left with bytes behind its request was not seen: hyper reads no further than its buffer. Wire::has_left asks the socket and what the runtime was told of the end of its side. - An indented list was never read; half a line that goes on kept a dead watch alive; with a call that hangs a watch could take over 6 s. crates/discovery: Values takes the stream apart, Watch (pure, stepped in simulated time) spends one budget. A list that names a member twice or goes back in version changes nothing. - At the end of the process what was read after the last word was sent on and cut off, and what waited in the listening queue was reset. - A second answer 5 ms late on a connection that rested 2 ms was served to the next request. 10 ms on the platform now. - A request that was over before it was sent put its backend out of the draw, as a failed connection.

--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -112,3 +112,49 @@
         intake.iter().map(within).max().unwrap_or_default()
     }
 }
+
+/// A listener with room for one connection that nobody accepts, which is taken: a further one does not come up until
+/// [`Full::let_go`], and then only as the system tries again by itself.
+pub struct Full {
+    /// Where it listens.
+    pub address: SocketAddr,
+    listener: socket2::Socket,
+    filler: Option<TcpStream>,
+}
+
+impl Full {
+    /// Starts one. `window` bytes at the most wait there unread, if it is told.
+    pub fn start(window: Option<usize>) -> Full {
+        let listener =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        if let Some(window) = window {
+            listener.set_recv_buffer_size(window).expect("a buffer");
+        }
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        listener.listen(0).expect("it listens");
+        let address = listener.local_addr().expect("its address").as_socket().expect("an address");
+        let filler = TcpStream::connect(address).expect("the queue is empty");
+        Full { address, listener, filler: Some(filler) }
+    }
+
+    /// Has further connections come up.
+    pub fn let_go(&mut self) {
+        drop(self.listener.accept().expect("the filler"));
+        self.filler = None;
+    }
+
+    /// The next connection that has come up.
+    pub fn accept(&self) -> TcpStream {
+        let stream = TcpStream::from(self.listener.accept().expect("a connection").0);
+        stream.set_read_timeout(Some(crate::PATIENCE)).expect("a time-out");
+        stream
+    }
+
+    /// All that the next connection that has come up brings until its end.
+    pub fn brought(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        // A reset is an end too.
+        let _ = self.accept().read_to_end(&mut bytes);
+        bytes
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,7 +8,7 @@
 mod links;
 
 pub use daemon::{free_address, free_addresses, Daemon, Folder, Process};
-pub use faults::{Cold, Fault};
+pub use faults::{Cold, Fault, Full};
 pub use large::{quick, Large};
 pub use links::{Links, Weather, FAIR};
 
@@ -238,6 +238,13 @@
         }
     }
 
+    /// Writes bytes to all watches as they are; false if there is none that takes them.
+    pub fn write(&self, bytes: &str) -> bool {
+        let part = format!("{:x}\r\n{bytes}\r\n", bytes.len());
+        let mut watches = self.watches.lock().unwrap();
+        watches.iter_mut().fold(false, |any, watch| watch.write_all(part.as_bytes()).is_ok() || any)
+    }
+
     /// Ends all watches.
     pub fn hang_up(&self) {
         self.watches.lock().unwrap().clear();
--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -130,18 +130,26 @@
     }
 
     /// The head of an answer, if it comes in time, and until when the rest may come. A caller whose body goes out as it
-    /// comes may say how long it waits from the end of that; what is left for the body itself is its deadline.
+    /// comes may say how long it waits from the end of that; what is left for the body itself is its deadline. A request
+    /// that is not written whole when it must be is given up there, and so has not run.
     async fn answered(
         &mut self,
         request: Request<OutBody>,
         inbound: &Inbound,
         (until, times): (Instant, AttemptTimes),
     ) -> (Result<Option<Response<Incoming>>, Elapsed>, Instant) {
-        let (InBody::Once(_, upload), Some(patience)) = (&inbound.body, inbound.patience) else {
-            return (timeout_at(until.into(), self.head(request)).await, until);
-        };
+        let wire = self.conn.wire.clone();
         let head = self.head(request);
         tokio::pin!(head);
+        let (InBody::Once(_, upload), Some(patience)) = (&inbound.body, inbound.patience) else {
+            if let Some(by) = times.write_by.filter(|by| *by < until) {
+                let answer = timeout_at(by.into(), &mut head).await;
+                if answer.is_ok() || !wire.request_whole() {
+                    return (answer, until);
+                }
+            }
+            return (timeout_at(until.into(), head).await, until);
+        };
         let ended = tokio::select! {
             biased;
             answer = timeout_at(times.deadline.into(), &mut head) => {
@@ -248,21 +256,24 @@
 }
 
 impl Upstream {
-    /// One attempt of a request, which ends at its deadline or after its time. `may_write` is asked right before the
-    /// first byte goes out, and `still_there` then and before the connection is kept. An answer that can be held is given
-    /// when this returns. Another is handed to `begin` with its head, and this returns when its body has ended; from then
-    /// on the request is answered and nothing is tried again. When this returns, the request is no longer out on any open
-    /// connection.
+    /// One attempt of a request, which ends at its deadline or after its time. `may_begin` is asked before a connection is
+    /// taken and directly before the first byte goes out, and what it objects is the outcome; `still_there` is asked
+    /// before the connection is kept. An answer that can be held is given when this returns. Another is handed to `begin`
+    /// with its head, and this returns when its body has ended; from then on the request is answered and nothing is tried
+    /// again. When this returns, the request is no longer out on any open connection.
     pub async fn attempt(
         &self,
         (backend, address): (BackendId, SocketAddr),
         inbound: &Inbound,
         times: AttemptTimes,
-        may_write: impl Fn() -> bool,
+        may_begin: impl Fn() -> Result<(), Outcome>,
         still_there: impl Fn() -> bool,
         begin: impl FnOnce(Answer),
     ) -> Ended {
         let sent = Instant::now();
+        if let Err(outcome) = may_begin() {
+            return Ended::now(outcome);
+        }
         // A body that goes out once can't follow a pooled connection that turns out to be dead to a fresh one.
         let once = matches!(inbound.body, InBody::Once(..));
         let ordinary = self.manner == Manner::Ordinary;
@@ -279,9 +290,8 @@
                     Err(outcome) => return Ended::now(outcome),
                 },
             };
-            // Guards a drain that was told while the connection came up: nothing new may start then.
-            if !still_there() || !may_write() {
-                return Ended::now(Outcome::ConnectFailed);
+            if let Err(outcome) = may_begin() {
+                return Ended::now(outcome);
             }
             let Some(left) = left_ms(until) else { return Ended::now(Outcome::Moot) };
             let Some(request) = outbound(self.manner, inbound, address, left) else {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,26 +2,24 @@
 
 use super::io::{Io, Wire};
 use bytes::Bytes;
+use dewrun_discovery::{Action, Event, Mode, Piece, Values, Watch};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{header::HOST, Request, StatusCode};
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::Deserialize;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout, Instant};
 use umberridge::api::{BackendId, BackendInfo, BackendState, Settings};
 
-/// A watch says something every 2 s. One that is silent for this long is dead: a machine that was cut off
-/// never closes its connections, and news counts as told soon after.
-const SILENCE: Duration = Duration::from_millis(3_500);
-/// Longest wait for a connection, and for the head of an answer.
-const OPEN: Duration = Duration::from_millis(2_500);
-/// Waits between two tries, doubled with each failure.
-const BACKOFF: Duration = Duration::from_millis(50);
-const BACKOFF_MOST: Duration = Duration::from_millis(800);
-/// Longest line, or whole list, that is taken.
-const LINE_MOST: usize = 4 << 20;
+/// Longest wait for a whole list that is asked for by itself.
+const FETCH: Duration = Duration::from_millis(2_500);
+/// The largest list that is taken.
+const LIST_MOST: usize = 4 << 20;
 
 /// A list, or a change of one.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -311,114 +309,169 @@
     }))
 }
 
-/// Reads an answer line by line and hands each list on; gives why it ended.
-async fn read(address: SocketAddr, path: &str, mut take: impl FnMut(List)) -> String {
-    let opened = match timeout(OPEN, get(address, path)).await {
-        Ok(Ok(opened)) => opened,
-        Ok(Err(why)) => return why,
-        Err(_) => return "no answer".into(),
-    };
-    let (mut body, connection) = opened;
-    tokio::pin!(connection);
-    let mut connected = true;
-    let mut text: Vec<u8> = Vec::new();
-    loop {
-        let frame = async {
-            loop {
-                tokio::select! {
-                    biased;
-                    frame = body.frame() => return frame,
-                    _ = &mut connection, if connected => connected = false,
-                }
-            }
-        };
-        let ended = match timeout(SILENCE, frame).await {
-            Err(_) => return "it fell silent".into(),
-            Ok(Some(Err(e))) => return e.to_string(),
-            Ok(Some(Ok(frame))) => {
-                text.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
-                false
-            }
-            Ok(None) => {
-                text.push(b'\n');
-                true
-            }
-        };
-        let whole = text.iter().rposition(|b| *b == b'\n').map_or(0, |i| i + 1);
-        for line in text[..whole].split(|b| *b == b'\n').filter(|l| !l.trim_ascii().is_empty()) {
-            match serde_json::from_slice(line) {
-                Ok(list) => take(list),
-                Err(e) => return format!("garbled list: {e}"),
-            }
+impl List {
+    /// Reads one, if it can be believed by who holds a version of the same discovery.
+    fn read(text: &[u8], held: Option<u64>) -> Result<List, String> {
+        let list: List = serde_json::from_slice(text).map_err(|e| format!("garbled list: {e}"))?;
+        let mut names = FxHashSet::default();
+        if let Some(twice) = list.endpoints.iter().find(|endpoint| !names.insert(endpoint.name.as_str())) {
+            return Err(format!("a list names {} twice", twice.name));
         }
-        text.drain(..whole);
-        match (ended, text.len() > LINE_MOST) {
-            (true, _) => return "it ended".into(),
-            (_, true) => return "a line is too long".into(),
-            _ => {}
+        // Changes since a later version say nothing of what is held. A whole list does, as after a restart.
+        if let Some(held) = held.filter(|held| *held > list.index && !list.snapshot) {
+            return Err(format!("a list goes back from version {held} to {}", list.index));
         }
+        Ok(list)
     }
 }
 
-/// Watches from version `index` until the watch ends, and gives why. Where no version is known, the whole list
-/// is asked for first: versions of one address mean nothing at another.
-pub async fn watch(address: SocketAddr, index: &mut Option<u64>, mut take: impl FnMut(List)) -> String {
+/// What a call to discovery brings.
+enum Said {
+    Answered,
+    Alive,
+    List(List),
+}
+
+/// Calls discovery and watches from version `index` until the watch ends, and gives why. Where no version is known, the
+/// whole list is asked for first: versions of one address mean nothing at another.
+async fn call(address: SocketAddr, index: &mut Option<u64>, mut on: impl FnMut(Said)) -> String {
     let from = match *index {
         Some(from) => from,
         None => {
-            let Some(list) = fetch(address).await else { return "no whole list".into() };
+            let Some(list) = whole_list(address).await else { return "no whole list".into() };
             let from = *index.insert(list.index);
-            take(list);
+            on(Said::List(list));
             from
         }
     };
-    let path = format!("/discovery/hosts?stream=1&index={from}");
-    read(address, &path, |list| {
-        *index = Some(list.index);
-        take(list);
-    })
-    .await
+    let (mut body, connection) = match get(address, &format!("/discovery/hosts?stream=1&index={from}")).await
+    {
+        Ok(opened) => opened,
+        Err(why) => return why,
+    };
+    on(Said::Answered);
+    tokio::pin!(connection);
+    let mut connected = true;
+    let mut values = Values::new(LIST_MOST);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            _ = &mut connection, if connected => {
+                connected = false;
+                continue;
+            }
+        };
+        let data = match frame {
+            None => return values.end().map_or_else(|e| e.to_string(), |()| "it ended".into()),
+            Some(Err(e)) => return e.to_string(),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        let mut fault = None;
+        let fed = values.feed(&data, |piece| match piece {
+            Piece::Line => on(Said::Alive),
+            Piece::Object(_) if fault.is_some() => {}
+            Piece::Object(text) => match List::read(&text, *index) {
+                Ok(list) => {
+                    *index = Some(list.index);
+                    on(Said::List(list));
+                }
+                Err(why) => {
+                    // Nothing more can be told from where this stood.
+                    *index = None;
+                    fault = Some(why);
+                }
+            },
+        });
+        if let Some(why) = fault {
+            return why;
+        }
+        if let Err(e) = fed {
+            return e.to_string();
+        }
+    }
 }
 
-/// Watches for ever. A watch that ends, falls silent or is garbled is opened again from where it stood.
-pub async fn follow(address: SocketAddr, mut index: Option<u64>, mut take: impl FnMut(List)) {
-    let mut wait = BACKOFF;
+/// Watches as the [`Watch`] has it. Where lists are pushed it goes on for ever, and a watch that ends, falls silent or is
+/// garbled is opened again from where it stood; where they are asked for, this returns with the end of the first.
+pub async fn follow(
+    address: SocketAddr,
+    mode: Mode,
+    mut index: Option<u64>,
+    seed: u64,
+    mut take: impl FnMut(List),
+) {
+    let begun = Instant::now();
+    let watch = RefCell::new((Watch::new(mode, Duration::ZERO), Xoshiro256PlusPlus::seed_from_u64(seed)));
+    let happens = |event| {
+        let (watch, random) = &mut *watch.borrow_mut();
+        watch.handle(begun.elapsed(), event, random.random())
+    };
+    let wakes = || sleep_until(begun + watch.borrow().0.wakes_at());
     let mut failing = false;
     loop {
+        wakes().await;
+        if happens(Event::Passed) != Some(Action::Call) {
+            continue;
+        }
         let mut got = false;
-        let why = watch(address, &mut index, |list| {
-            got = true;
-            take(list);
-        })
-        .await;
-        if got {
-            (wait, failing) = (BACKOFF, false);
+        let why = {
+            let called = call(address, &mut index, |said| {
+                got |= !matches!(said, Said::Answered);
+                happens(match said {
+                    Said::Answered => Event::Answered,
+                    Said::Alive => Event::Alive,
+                    Said::List(list) => {
+                        take(list);
+                        Event::List
+                    }
+                });
+            });
+            tokio::pin!(called);
+            loop {
+                tokio::select! {
+                    biased;
+                    why = &mut called => {
+                        happens(Event::Ended);
+                        break why;
+                    }
+                    () = wakes() => {
+                        if happens(Event::Passed) == Some(Action::HangUp) {
+                            break "no word in time".into();
+                        }
+                    }
+                }
+            }
+        };
+        if mode == Mode::Asked {
+            return;
         }
+        failing &= !got;
         // One line for each spell of trouble, not for each try.
         if !std::mem::replace(&mut failing, true) {
             tracing::warn!("discovery watch: {why}; opening it again");
         }
-        tokio::time::sleep(wait).await;
-        wait = (wait * 2).min(BACKOFF_MOST);
     }
 }
 
-/// Asks for the whole list once; it may run over several lines.
-pub async fn fetch(address: SocketAddr) -> Option<List> {
-    let ask = async {
-        let (body, connection) = get(address, "/discovery/hosts").await.ok()?;
-        tokio::pin!(connection);
-        let whole = Limited::new(body, LINE_MOST).collect();
-        tokio::pin!(whole);
-        let whole = tokio::select! {
-            biased;
-            whole = &mut whole => whole,
-            _ = &mut connection => whole.await,
-        };
-        let list: List = serde_json::from_slice(&whole.ok()?.to_bytes()).ok()?;
-        Some(List { snapshot: true, ..list })
+/// Asks for the whole list once.
+async fn whole_list(address: SocketAddr) -> Option<List> {
+    let (body, connection) = get(address, "/discovery/hosts").await.ok()?;
+    tokio::pin!(connection);
+    let whole = Limited::new(body, LIST_MOST).collect();
+    tokio::pin!(whole);
+    let whole = tokio::select! {
+        biased;
+        whole = &mut whole => whole,
+        _ = &mut connection => whole.await,
     };
-    timeout(OPEN, ask).await.ok()?
+    let list = List::read(&whole.ok()?.to_bytes(), None).ok()?;
+    Some(List { snapshot: true, ..list })
+}
+
+/// The same within a time.
+pub async fn fetch(address: SocketAddr) -> Option<List> {
+    timeout(FETCH, whole_list(address)).await.ok()?
 }
 
 #[cfg(test)]
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,11 +3,13 @@
 //! requests and the promises of the interface, which are one final answer for each request, one attempt out
 //! at a time, and one outcome for each send.
 
-use super::discovery::{self, Directory, List};
+use super::discovery::{self, Directory, List, Place};
+use super::io::Wire;
 use super::server::single;
 use super::trace::step;
 use super::upstream::{Answer, AttemptTimes, Ended, Inbound, Upstream};
 use crate::fleet::{Counts, Denied, Fleet, Held};
+use dewrun_discovery::Mode;
 use dewrun_replica::cells::Cells;
 use hyper::StatusCode;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -73,6 +75,39 @@
     pub deadline: Instant,
     /// The budgets of the fleet that its attempts count to, if there are any.
     pub attempts: Option<Rc<Counts>>,
+    /// The connection of its client: once that has left, no attempt begins.
+    pub client: Rc<Wire>,
+}
+
+/// Until when a request that may have run can go out again. The module decides by the same rule when it sends; this holds
+/// it up to the last byte, as a connection may come up late.
+#[derive(Clone, Copy)]
+enum Repeats {
+    /// Whenever.
+    Free,
+    /// For so long after the first attempt that may have run was sent.
+    Within(Duration),
+    /// Not at all.
+    Never,
+}
+
+impl Repeats {
+    fn of(class: &Class) -> Repeats {
+        match class.effect {
+            Effect::Repeatable => Repeats::Free,
+            Effect::Keyed => Repeats::Within(span(class.window_ms)),
+            Effect::Once => Repeats::Never,
+        }
+    }
+
+    /// By when the last byte of the next attempt has to be written.
+    fn write_by(self, first_risk: Instant) -> Option<Instant> {
+        match self {
+            Repeats::Free => None,
+            Repeats::Within(window) => Some(first_risk + window),
+            Repeats::Never => Some(first_risk),
+        }
+    }
 }
 
 /// Unix time in milliseconds that never goes back.
@@ -105,6 +140,10 @@
     deadline: Instant,
     /// Taken by the final answer; empty from then on, and once the caller has left.
     answer: Option<oneshot::Sender<Final>>,
+    client: Rc<Wire>,
+    repeats: Repeats,
+    /// When the first attempt that may have run was sent, if any may have.
+    first_risk: Option<Instant>,
     attempts: u32,
     /// Whether any of them went out.
     went_out: bool,
@@ -205,14 +244,17 @@
     upstream: Rc<Upstream>,
     membership: Cell<Membership>,
     name: String,
+    seed: u64,
     must_subscribe: bool,
     classes: Vec<String>,
+    repeats: Vec<Repeats>,
     /// For each class whose repeats only a group drops, in a fleet: for how long.
     cell_windows: Vec<Option<Millis>>,
     max_attempts: u32,
     max_open: usize,
     probe_path: &'static str,
     listed: Cell<bool>,
+    closed: Cell<bool>,
     fleet: Option<Rc<Fleet>>,
     state: RefCell<State>,
 }
@@ -231,13 +273,16 @@
             upstream,
             membership: Cell::new(start.membership),
             name: settings.service.clone(),
+            seed: start.seed,
             must_subscribe: settings.must_subscribe,
             classes: settings.classes.iter().map(|class| class.name.clone()).collect(),
+            repeats: settings.classes.iter().map(Repeats::of).collect(),
             cell_windows,
             max_attempts: settings.allowed.max_attempts.min(u32::from(u8::MAX)),
             max_open: start.max_open.min(settings.allowed.max_open as usize),
             probe_path: if settings.report_via == ReportVia::Probe { "/metrics/load" } else { "/alive" },
             listed: Cell::new(false),
+            closed: Cell::new(false),
             fleet: start.fleet,
             state: RefCell::new(State {
                 directory: Directory::new(&settings),
@@ -371,11 +416,11 @@
         }
     }
 
-    /// Takes a request in; `None` if this proxy holds as many as it can. The answer comes exactly once, if
-    /// the guard is kept until then; dropping it earlier tells that the caller has left.
+    /// Takes a request in; `None` if this proxy holds as many as it can, or is about to end. The answer comes exactly
+    /// once, if the guard is kept until then; dropping it earlier tells that the caller has left.
     pub fn request(&self, asked: Asked, inbound: Inbound) -> Option<(Guard, oneshot::Receiver<Final>)> {
         let state = &mut *self.state.borrow_mut();
-        if state.open.len() >= self.max_open {
+        if self.closed.get() || state.open.len() >= self.max_open {
             return None;
         }
         let id = state.next_id;
@@ -385,6 +430,9 @@
             inbound: Rc::new(inbound),
             deadline: asked.deadline,
             answer: Some(answer),
+            client: asked.client,
+            repeats: self.repeats.get(usize::from(asked.class)).copied().unwrap_or(Repeats::Never),
+            first_risk: None,
             attempts: 0,
             went_out: false,
             counts: asked.attempts,
@@ -431,8 +479,9 @@
         Driver::forget(state, id);
     }
 
-    /// Fails all that is open: the process is about to end.
+    /// Fails all that is open: the process is about to end. What is asked from now on would be cut off, so none is taken.
     pub fn close_all(&self) {
+        self.closed.set(true);
         let ids: Vec<RequestId> = self.state.borrow().open.keys().copied().collect();
         ids.into_iter().for_each(|id| self.close(id));
     }
@@ -453,6 +502,9 @@
         let attempt = out.attempt;
         // What it held is free for the next.
         drop(out);
+        if !ended.outcome.never_ran() {
+            open.first_risk = open.first_risk.or(Some(sent));
+        }
         open.last_word = ended.last_word.or(open.last_word.take());
         let last = match (ended.answer, ended.rejected) {
             (Some(answer), _) => Some(Final::Served(answer)),
@@ -659,25 +711,18 @@
             deadline: open.deadline,
             most: if timeout_ms == 0.0 { span(SPAN_MOST) } else { span(timeout_ms) },
             connect: if connect_ms == 0.0 { span(SPAN_MOST) } else { span(connect_ms) },
+            write_by: open.first_risk.and_then(|at| open.repeats.write_by(at)),
         };
         let (me, inbound) = (self.me.clone(), open.inbound.clone());
         spawn_local(async move {
             let Some(driver) = me.upgrade() else { return };
-            // All goes by the list as it is when the first byte is about to leave, or when the connection would
-            // go back to the pool: by then the backend may drain, or another may stand at its address.
-            let still_there = || {
-                let state = driver.state.borrow();
-                state.directory.place(backend) == Some(place) && place.state == BackendState::Ready
-            };
-            let may_write = || {
-                let state = driver.state.borrow();
-                state.open.get(&request).is_some_and(|open| open.answer.is_some())
-            };
+            let still_there = || driver.is_ready(backend, place);
+            let may_begin = || driver.may_begin(request, backend, place, times);
             let upstream = driver.upstream.clone();
             let attempt = async {
                 let begin = |answer| driver.answer_begun(request, backend, sent, answer);
                 upstream
-                    .attempt((backend, place.address), &inbound, times, may_write, still_there, begin)
+                    .attempt((backend, place.address), &inbound, times, may_begin, still_there, begin)
                     .await
             };
             let ended = tokio::select! {
@@ -686,10 +731,50 @@
                 // The attempt was dropped, and its connection closed, before this is told.
                 Ok(()) = cancelled => Ended::now(Outcome::Cancelled),
             };
+            if ended.answer.is_none() && driver.client_left(request) {
+                // Told before the outcome, or the module would decide on one more attempt. An answer that is there is
+                // passed on: a client may have ended its own side alone.
+                driver.close(request);
+            }
             driver.attempt_ended(request, backend, sent, ended);
         });
     }
 
+    /// Whether a backend takes requests where it stood when it was chosen, by the list as it is now: by the time when the
+    /// first byte is about to leave, or when a connection would go back to the pool, it may drain, or another may stand
+    /// at its address.
+    fn is_ready(&self, backend: BackendId, place: Place) -> bool {
+        let state = self.state.borrow();
+        state.directory.place(backend) == Some(place) && place.state == BackendState::Ready
+    }
+
+    /// Whether the client of an open request has gone.
+    fn client_left(&self, request: RequestId) -> bool {
+        let state = self.state.borrow();
+        state.open.get(&request).is_some_and(|open| open.answer.is_some() && open.client.has_left())
+    }
+
+    /// Whether an attempt may begin, asked directly before its first byte is written: nothing that was true when it was
+    /// decided need hold any more. All that can have changed is looked at here and nowhere else.
+    fn may_begin(
+        &self,
+        request: RequestId,
+        backend: BackendId,
+        place: Place,
+        times: AttemptTimes,
+    ) -> Result<(), Outcome> {
+        let is_owed = self.state.borrow().open.get(&request).is_some_and(|open| open.answer.is_some());
+        if !is_owed || self.client_left(request) || times.is_late_to_write() {
+            return Err(Outcome::Moot);
+        }
+        // Guards a drain that was told while the connection came up: nothing new may start then.
+        if self.is_ready(backend, place) {
+            Ok(())
+        } else {
+            Err(Outcome::ConnectFailed)
+        }
+    }
+
     /// Tells of an attempt that did not go out.
     fn not_sent(state: &mut State, request: RequestId, backend: BackendId, outcome: Outcome) {
         let mut open = state.open.get_mut(&request);
@@ -747,8 +832,8 @@
             watch.abort();
         }
         let Membership::Discovery(address) = self.membership.get() else { return };
-        let (me, ask) = (self.me.clone(), self.must_subscribe);
-        let mut index = state.index;
+        let (me, index, seed) = (self.me.clone(), state.index, self.seed);
+        let mode = if self.must_subscribe { Mode::Asked } else { Mode::Pushed };
         let take = move |list: List| {
             if let Some(driver) = me.upgrade() {
                 driver.take_list(&list, None);
@@ -756,10 +841,8 @@
         };
         let me = self.me.clone();
         let watch = spawn_local(async move {
-            if !ask {
-                return discovery::follow(address, index, take).await;
-            }
-            discovery::watch(address, &mut index, take).await;
+            // Returns only where the module decides when to ask again.
+            discovery::follow(address, mode, index, seed, take).await;
             if let Some(driver) = me.upgrade() {
                 driver.list_failed();
             }
@@ -820,3 +903,6 @@
         self.close();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -7,14 +7,15 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::io::{ErrorKind, Result, Write as _};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Instant;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 /// Says on standard error why the program can't go on. Guards against the panic of `eprintln!` where nobody reads it.
@@ -197,6 +198,20 @@
         }
     }
 
+    /// Whether the peer has closed the connection or its side of it, as far as this machine knows. Bytes that came before
+    /// may be unread still: behind them the end can't be read, but the runtime has been told of it.
+    pub fn has_left(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&self.stream).peek(&mut byte) {
+            Ok(0) => return true,
+            Ok(_) => {}
+            Err(e) => return e.kind() != ErrorKind::WouldBlock,
+        }
+        let readiness = pin!(self.stream.ready(Interest::READABLE));
+        let told = readiness.poll(&mut Context::from_waker(Waker::noop()));
+        matches!(told, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
     /// Whether the peer holds the connection open and has sent nothing that is still unread. Asks the
     /// socket itself: the runtime's own view may be one turn old.
     pub fn is_quiet(&self) -> bool {
--- a/src/net/ordinary.rs
+++ b/src/net/ordinary.rs
@@ -129,7 +129,7 @@
         if head.method == Method::OPTIONS && head.uri.path() == "*" {
             return Ok(Response::new(ReplyBody::from(Full::new(Bytes::new()))));
         }
-        let Routed { mut asked, timeout, pool, path, budgets } = self.route(&installed, &head)?;
+        let Routed { mut asked, timeout, pool, path, budgets } = self.route(&installed, caller, &head)?;
         caller.take();
         if let Some(fleet) = &installed.fleet {
             fleet.awake().await;
@@ -168,7 +168,7 @@
     }
 
     /// Finds where a request goes, by its head alone.
-    fn route(&self, installed: &Installed, head: &Parts) -> Result<Routed, Early> {
+    fn route(&self, installed: &Installed, caller: &Caller, head: &Parts) -> Result<Routed, Early> {
         let bad = |why| Early::Bad((StatusCode::BAD_REQUEST, why));
         // The guard saw to it that there is one Host, or none in HTTP/1.0.
         let named = match head.headers.get(HOST) {
@@ -229,6 +229,7 @@
             write: !head.method.is_safe(),
             deadline: Instant::now(),
             attempts: None,
+            client: caller.wire.clone(),
         };
         let whole = match head.uri.query() {
             Some(query) => format!("{path}?{query}"),
--- a/src/net/platform/front.rs
+++ b/src/net/platform/front.rs
@@ -72,7 +72,7 @@
             // Anybody may ask this, so it proves nothing of the caller.
             return Ok(self.up());
         }
-        let (mut asked, timeout_ms) = self.read_head(&head)?;
+        let (mut asked, timeout_ms) = self.read_head(caller, &head)?;
         let path = head.uri.path_and_query().ok_or((StatusCode::BAD_REQUEST, "no path"))?.clone();
         if head.method == Method::GET && body.size_hint().lower() > 0 {
             return Err((StatusCode::BAD_REQUEST, "a GET has no body"));
@@ -219,7 +219,7 @@
     }
 
     /// Checks all that comes before the body.
-    fn read_head(&self, head: &Parts) -> Result<(Asked, u32), Bad> {
+    fn read_head(&self, caller: &Caller, head: &Parts) -> Result<(Asked, u32), Bad> {
         let bad = |why| (StatusCode::BAD_REQUEST, why);
         let id = single(&head.headers, REQUEST_ID).ok_or(bad("no single Request-Id"))?;
         if id.is_empty() || id.len() > 128 || !id.bytes().all(|b| b.is_ascii_graphic()) {
@@ -265,6 +265,7 @@
             write: info.split(',').any(|part| part.trim() == "write=1"),
             deadline: Instant::now(),
             attempts: None,
+            client: caller.wire.clone(),
         };
         Ok((asked, timeout_ms))
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{oneshot, watch, Notify};
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout, timeout_at};
 
@@ -80,7 +80,7 @@
     /// Looks after the connections to backends.
     fn reap(&self);
 
-    /// Fails all that is open: the process is about to end.
+    /// Fails all that is open, and refuses all that is asked from now on: the process is about to end.
     fn close_all(&self);
 }
 
@@ -240,20 +240,29 @@
     times: Times,
     next: Cell<u64>,
     leave: Rc<Leave>,
+    /// Set once nobody is listened to any more.
+    shut: watch::Sender<bool>,
 }
 
 impl<F: Front> Server<F> {
     /// A server for callers.
     pub fn new(front: Rc<F>, limits: Rc<Limits>, times: Times, leave: Rc<Leave>) -> Rc<Server<F>> {
-        Rc::new(Server { front, callers: RefCell::default(), limits, times, next: Cell::new(0), leave })
+        let (next, shut) = (Cell::new(0), watch::Sender::new(false));
+        Rc::new(Server { front, callers: RefCell::default(), limits, times, next, leave, shut })
     }
 
-    /// Accepts for ever. Goes on while stopping: what the kernel has taken in counts as taken. Beyond the
-    /// callers' share a connection is taken only in place of another, so that a flood leaves the sockets that
-    /// attempts need alone.
+    /// Accepts until the last moments of the process: what the kernel has taken in counts as taken, so the listener closes
+    /// only when none waits there. Beyond the callers' share a connection is taken only in place of another, so that a
+    /// flood leaves the sockets that attempts need alone.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, door: usize) {
+        let mut shut = self.shut.subscribe();
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                _ = shut.wait_for(|shut| *shut) => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let mut counted = self.limits.callers.take(1);
                     let mut turns = 0;
@@ -374,7 +383,8 @@
         }
         self.front.close_all();
         let last = Instant::now();
-        // Callers go on connecting until the process has gone: what they ask now is refused, not left.
+        // From here on connections are refused by the kernel, and what is asked on those that there are by the front.
+        self.shut.send_replace(true);
         while !self.callers.borrow().is_empty() && last.elapsed() < STOP_LAST {
             self.close_waiting();
             sleep(Duration::from_millis(5)).await;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -20,9 +20,11 @@
 use tokio::time::{sleep, timeout_at};
 use umberridge::api::{BackendId, Outcome, Report, ReportField};
 
-/// How long a connection rests after an answer: what comes right behind one must be seen before the connection
-/// is used again, or it would be taken for the next answer.
+/// How long a connection rests after an answer: what comes behind one must be seen before the connection is used again,
+/// or it would be taken for the next answer.
 const REST: Duration = Duration::from_millis(2);
+/// On the platform a second answer may come some milliseconds late, and calls take hundreds of them.
+const PLATFORM_REST: Duration = Duration::from_millis(10);
 /// How long a caller waits.
 pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("request-timeout-ms");
 /// A backend's word that it has not begun a request.
@@ -120,6 +122,16 @@
     pub most: Duration,
     /// For a new connection, besides what the pool says.
     pub connect: Duration,
+    /// By when the last byte of the request has to be written, where an earlier attempt of it may have run: from then on
+    /// nobody drops a repeat.
+    pub write_by: Option<Instant>,
+}
+
+impl AttemptTimes {
+    /// Whether the time for writing it is over.
+    pub fn is_late_to_write(&self) -> bool {
+        self.write_by.is_some_and(|by| Instant::now() >= by)
+    }
 }
 
 /// How an attempt ended.
@@ -222,6 +234,13 @@
         Upstream { manner: Manner::Ordinary, times, ..self }
     }
 
+    fn rest(&self) -> Duration {
+        match self.manner {
+            Manner::Platform => PLATFORM_REST,
+            Manner::Ordinary => REST,
+        }
+    }
+
     /// Puts a connection back into the pool.
     pub(super) fn put_idle(&self, backend: BackendId, address: SocketAddr, conn: Conn) {
         let idle = Idle { conn, address, since: Instant::now() };
@@ -271,7 +290,7 @@
                 let mut idle = self.idle.borrow_mut();
                 let list = idle.get_mut(&backend)?;
                 list.retain(|idle| idle.address == address);
-                let rested = list.iter().rposition(|idle| idle.since.elapsed() >= REST);
+                let rested = list.iter().rposition(|idle| idle.since.elapsed() >= self.rest());
                 if rested.is_none() && rather_open && self.limits.upstream.is_ample() {
                     return None;
                 }
@@ -279,7 +298,7 @@
                 list.remove(at)
             };
             // Even a sleep of no length waits for the runtime's next millisecond.
-            if let Some(rest) = REST.checked_sub(since.elapsed()).filter(|rest| !rest.is_zero()) {
+            if let Some(rest) = self.rest().checked_sub(since.elapsed()).filter(|rest| !rest.is_zero()) {
                 sleep(rest).await;
             }
             if since.elapsed() < self.idle_most && conn.wire.is_quiet() {
--- a/tests/installation/pools.rs
+++ b/tests/installation/pools.rs
@@ -1,7 +1,9 @@
 //! Pools: their members, where they stand, and how they change.
 
 use super::*;
+use std::io::Read;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{mpsc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -244,3 +246,37 @@
     let connections = backend.connections.load(Ordering::SeqCst);
     assert!(connections < 500, "{connections} connections for 11,000 requests");
 }
+
+#[test]
+fn a_repeat_that_is_not_written_whole_in_its_window_is_cut() {
+    const BODY: usize = 12 << 20;
+    let mut slow = Full::start(Some(4_096));
+    slow.let_go();
+    let (tell, told) = mpsc::channel::<()>();
+    let told = Mutex::new(told);
+    let first = Backend::start(move |_, stream| {
+        let _ = told.lock().unwrap().recv_timeout(PATIENCE);
+        stream.write_all(answer_of("500 No", "", "").as_bytes()).is_ok()
+    });
+    let text = |member: SocketAddr| {
+        format!(
+            "[limits]\nkept_body = \"12MiB\"\n[[class]]\nname = \"default\"\neffect = \"keyed\"\nwindow = \"2s\"\n\
+             aim = \"1s\"\ndeadline = \"20s\"\n{}",
+            pool(&[member])
+        )
+    };
+    let site = Site::start(&text(first.address));
+    let asked = post("Idempotency-Key: k1\r\n", &"x".repeat(BODY));
+    let mut client = open(site.address, &asked);
+    until("the first attempt is out", || first.seen() == 1);
+    let sent = Instant::now();
+    // The only member left takes connections and reads nothing until the window is over.
+    site.reload(&text(slow.address), 1);
+    tell.send(()).expect("the backend waits");
+    thread::sleep((Duration::from_millis(2_300)).saturating_sub(sent.elapsed()));
+    let brought = slow.brought();
+    assert!(!brought.is_empty() && brought.len() < BODY, "{} bytes of {BODY}", brought.len());
+    let mut line = [0; 12];
+    client.read_exact(&mut line).expect("an answer");
+    assert_ne!(&line, b"HTTP/1.1 200");
+}
