Count what a tier serves by the room it had then; rest less between calls to discovery

To blame: pick divided the calls of the last 3 s, which all backends had served, by the room of those that are left (choice.rs, rate).

A bucket that lets unused tokens go was tried and dropped: a cold backend hardly warmed up under 100 copies.

Where lists are asked for, the rest before the next call was up to 3.75 s, and the call may wait its turn for 2 s: over the 6 s after which a change counts as told. At most 3 s now (2 s before jitter).

--- a/crates/fading/src/lib.rs
+++ b/crates/fading/src/lib.rs
@@ -35,7 +35,12 @@
 
     /// Adds one.
     pub fn add(&mut self, now: f64, tau: f64) {
-        self.sum = self.read(now, tau) + 1.0;
+        self.add_of(now, tau, 1.0);
+    }
+
+    /// Adds an amount; what is not finite adds nothing.
+    pub fn add_of(&mut self, now: f64, tau: f64, amount: f64) {
+        self.sum = self.read(now, tau) + if amount.is_finite() { amount } else { 0.0 };
         self.at = now;
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -148,8 +148,10 @@
 const COME_BACK: f64 = 0.5;
 /// Milliseconds that stand in for the mean latency while none is known.
 const COME_BACK_BLIND: Millis = 200.0;
-/// Milliseconds before the first new try after a failed call to discovery.
+/// Milliseconds before the first new try after a failed call to discovery, and at the most, before jitter:
+/// news counts as told 6 s after it could have been had, and the next call may wait 2 s for its turn.
 const ASK_AGAIN_MS: Millis = 300.0;
+const ASK_MOST_MS: Millis = 2_000.0;
 /// The only timer token in use: ask discovery again.
 const ASK: u64 = 1;
 
@@ -431,7 +433,7 @@
     shares: Vec<Sum>,
     asked: Vec<Sum>,
     passed: Vec<Sum>,
-    served: Sum,
+    throughput: Sum,
     calm: Floor,
     usual: Usual,
     retries: f64,
@@ -547,9 +549,7 @@
     fn on_list(&mut self, kind: ListKind, list: &[BackendInfo], actions: &mut Vec<Action>) {
         match kind {
             ListKind::Failed => return self.ask_again(actions),
-            ListKind::Cached if self.settings.must_subscribe => {
-                actions.push(Action::Subscribe { on: true });
-            }
+            ListKind::Cached if self.settings.must_subscribe => actions.push(Action::Subscribe { on: true }),
             ListKind::Cached => {}
             ListKind::Delta | ListKind::Full => self.asks_failed = 0,
         }
@@ -643,7 +643,7 @@
 
     /// Backs off with jitter, yet asks well inside the time after which it would count as told.
     fn ask_again(&mut self, actions: &mut Vec<Action>) {
-        let most = self.settings.rules.ask_within_ms / 4.0;
+        let most = (self.settings.rules.ask_within_ms / 4.0).min(ASK_MOST_MS);
         let wait = (ASK_AGAIN_MS * 2f64.powi(self.asks_failed.min(5))).min(most);
         self.asks_failed += 1;
         let after_ms = wait * (0.5 + self.random());
@@ -863,7 +863,8 @@
         let ok = outcome == Outcome::Ok;
         let expected = self.known.latencies[held.class].mean;
         if ok {
-            self.known.served.add(self.now, RATE_MS);
+            // By the room of then: a tier that shrinks would else seem to have served all with what is left.
+            self.known.throughput.add_of(self.now, RATE_MS, self.known.subset_room.recip());
             self.finds = true;
             self.known.latencies[held.class].add(took, LATENCY_PART);
         }
@@ -1016,7 +1017,7 @@
         let copies = f64::from(self.settings.fleet_size);
         let cover = SUBSET_COVER * self.backends.len() as f64 / copies;
         let want = SUBSET_LEAST.max(cover).max(SUBSET_ROOM * self.known.tier.used);
-        let rate = self.known.served.read(now, RATE_MS) * 1000.0 / RATE_MS / self.known.subset_room.max(1e-9);
+        let rate = self.known.throughput.read(now, RATE_MS) * 1000.0 / RATE_MS;
         let usual = self.known.latencies[held.class].mean;
         let hush = (SILENT * usual).max(SILENT_LEAST);
         let (mut weights, mut sick) = (std::mem::take(&mut self.weights), std::mem::take(&mut self.sick));
--- /dev/null
+++ b/tests/cold.rs
@@ -0,0 +1,148 @@
+//! A cold backend's budget is one for all copies together, however many there are and however traffic is spread over them.
+
+mod common;
+use common::*;
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use umberridge::api::*;
+
+const WARM: u32 = 4;
+const COLD: BackendId = 99;
+/// What a warm backend does a second, one call after another.
+const CAPACITY: f64 = 5.0;
+/// What waits for longer is given up.
+const PATIENCE: Millis = 2_000.0;
+const TICK: Millis = 5.0;
+/// When the cold backend has started, and how long it is watched.
+const STARTED: Millis = 16_000.0;
+const WATCHED: Millis = 9_000.0;
+
+/// How traffic is spread over the copies and in time.
+#[derive(Clone, Copy, Debug)]
+struct Spread {
+    copies: u32,
+    /// Copies get from 0.3 to 4 times the mean, or all the same.
+    even: bool,
+    /// Little is asked until so long after the start; then as much as the tier can do, and half as much again.
+    burst_after: Option<Millis>,
+    /// Half of the copies forget all when the backend starts.
+    restarts: bool,
+    /// How many copies the settings speak of.
+    told: u32,
+    /// How many warm backends stay when the cold one comes.
+    stay: u32,
+}
+
+/// Plays it; gives when the cold backend was sent to, counted from its start.
+fn play(spread: Spread, seed: u64) -> Vec<Millis> {
+    let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let fleet = Settings { fleet_size: spread.told, ..settings() };
+    let cold = BackendInfo { started_at: Some(STARTED), ..backend(COLD) };
+    let copy = |rank: u32, seed: u64, list: &[BackendInfo]| {
+        Proxy::seeded(Settings { rank: rank % spread.told, ..fleet.clone() }, seed, list)
+    };
+    let mut copies: Vec<Proxy> =
+        (0..spread.copies).map(|rank| copy(rank, random.random(), &backends(WARM))).collect();
+    let weights: Vec<f64> =
+        copies.iter().map(|_| if spread.even { 1.0 } else { random.random_range(0.3..4.0) }).collect();
+    let sum: f64 = weights.iter().sum();
+    let told_at: Vec<Millis> = copies.iter().map(|_| STARTED + random.random_range(0.0..1_500.0)).collect();
+    let (mut told, mut out, mut sent_at) = (vec![false; copies.len()], Vec::new(), Vec::new());
+    let mut free_at = std::collections::BTreeMap::new();
+    // When a call to a backend ends, and how.
+    let mut serve = |to: BackendId, now: Millis| {
+        let service = 1_000.0 / (CAPACITY * if to == COLD { warmth(now - STARTED) } else { 1.0 });
+        let free: &mut Millis = free_at.entry(to).or_insert(0.0);
+        let end = free.max(now) + service;
+        if end > now + PATIENCE {
+            return (now + PATIENCE, Outcome::Timeout);
+        }
+        *free = end;
+        (end, Outcome::Ok)
+    };
+    let full = f64::from(WARM) * CAPACITY;
+    let mut now = 1_000.0;
+    while now < STARTED + WATCHED {
+        let rate = match spread.burst_after {
+            Some(after) if now < STARTED + after => 0.25 * full,
+            Some(_) => 1.5 * full,
+            None => 0.9 * full,
+        };
+        type Out = (usize, Sent, (Millis, Outcome));
+        let ended: Vec<Out> = out.extract_if(.., |(_, _, (end, _)): &mut Out| *end <= now).collect();
+        for (i, sent, (_, outcome)) in ended {
+            copies[i].now = now;
+            copies[i].end(sent, outcome);
+        }
+        for i in 0..copies.len() {
+            copies[i].now = now;
+            if now >= told_at[i] && !std::mem::replace(&mut told[i], true) {
+                let list: Vec<BackendInfo> = backends(spread.stay).into_iter().chain([cold]).collect();
+                if spread.restarts && i % 2 == 0 {
+                    out.retain(|(at, ..)| *at != i);
+                    copies[i] = copy(i as u32, random.random(), &[]);
+                    copies[i].now = now;
+                }
+                copies[i].list(ListKind::Full, &list);
+            }
+            if random.random_bool((rate * weights[i] / sum * TICK / 1_000.0).min(1.0)) {
+                if let Some(sent) = copies[i].ask(0, 0, 4_000.0) {
+                    if sent.to == COLD {
+                        sent_at.push(now - STARTED);
+                    }
+                    out.push((i, sent, serve(sent.to, now)));
+                }
+            }
+        }
+        now += TICK;
+    }
+    sent_at
+}
+
+/// The part of its capacity that the cold backend has so long after its start.
+fn warmth(at: Millis) -> f64 {
+    let rules = settings().rules;
+    (rules.cold_from + (1.0 - rules.cold_from) * at / rules.cold_ms).min(1.0)
+}
+
+/// What the settings allow in a window that begins then.
+fn budget(at: Millis) -> f64 {
+    let rules = settings().rules;
+    rules.fall_multiple * warmth(at) * CAPACITY * rules.fall_ms / 1_000.0
+}
+
+#[test]
+fn cold_starts_hold_over_thirty_copies() {
+    let fall = settings().rules.fall_ms;
+    for copies in [1, 3, 10, 30, 100, 300] {
+        let usual = Spread { copies, even: true, burst_after: None, restarts: false, told: copies, stay: 1 };
+        for spread in [
+            usual,
+            Spread { even: false, ..usual },
+            Spread { burst_after: Some(3_000.0), ..usual },
+            Spread { even: false, burst_after: Some(5_000.0), ..usual },
+            Spread { even: false, restarts: true, ..usual },
+            Spread { restarts: true, burst_after: Some(2_000.0), ..usual },
+            Spread { told: copies.div_ceil(2), ..usual },
+            Spread { stay: WARM, ..usual },
+            Spread { stay: 0, ..usual },
+            Spread { stay: 0, even: false, burst_after: Some(2_000.0), ..usual },
+        ] {
+            let mut served = 0;
+            for seed in 0..3 {
+                let sent_at = play(spread, seed);
+                served += sent_at.len();
+                for from in &sent_at {
+                    let count = sent_at.iter().filter(|at| *at >= from && **at < from + fall).count();
+                    let budget = budget(*from);
+                    let most = budget + 2.0 * budget.sqrt() + 2.0;
+                    assert!(
+                        count as f64 <= most,
+                        "{spread:?}, seed {seed}: {count} in the window from {from:.0} ms, {most:.1} allowed"
+                    );
+                }
+            }
+            assert!(served >= 3 * 4, "{spread:?}: {served} calls in three plays: it hardly warms up");
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -150,8 +150,12 @@
 
 impl Proxy {
     pub fn new(settings: Settings, list: &[BackendInfo]) -> Proxy {
+        Proxy::seeded(settings, 7, list)
+    }
+
+    pub fn seeded(settings: Settings, seed: u64, list: &[BackendInfo]) -> Proxy {
         let mut proxy = Proxy {
-            balancer: Balancer::new(settings, 7),
+            balancer: Balancer::new(settings, seed),
             now: 1_000.0,
             last: Vec::new(),
             attempts: Default::default(),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -181,6 +181,25 @@
     assert!(f64::from(cold) < 0.7 * 3.0 * able, "{cold} calls to the cold one, able to do {able}");
 }
 
+#[test]
+fn asking_again_leaves_time_for_the_call_before_a_change_counts_as_told() {
+    for ask_within_ms in [4_000.0, 10_000.0, 60_000.0] {
+        let rules = Rules { ask_within_ms, ..settings().rules };
+        let mut p = Proxy::new(Settings { must_subscribe: true, rules, ..settings() }, &backends(2));
+        for failed in 0..40 {
+            p.list(ListKind::Failed, &[]);
+            let wait = p.last.iter().find_map(|action| match action {
+                Action::SetTimer { after_ms, .. } => Some(*after_ms),
+                _ => None,
+            });
+            // The call that follows may wait for its turn for 2 s, and half a second is for what the list brings.
+            let wait = wait.expect("it asks again");
+            assert!((100.0..=3_500.0).contains(&wait), "{wait} ms after {failed} failures");
+            p.now += wait;
+        }
+    }
+}
+
 /// What the reference keeps of one request.
 #[derive(Default)]
 struct Told {
