--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,8 +1,8 @@
-//! A subscriber's watch on discovery, without I/O: [`Watch`] says when to call, to hang up and to rest, so that what changed
-//! is known within [`TOLD`] whatever fails on the way, and [`Values`] takes a watch's bytes apart.
+//! A subscriber's watch on discovery, without I/O: [`Watch`] says when to connect, to disconnect and to back off, so that
+//! what changed is known within [`STALENESS_MOST`] whatever fails on the way; [`ObjectStream`] takes a watch's bytes apart.
 
-mod values;
+mod stream;
 mod watch;
 
-pub use values::{Garbled, Piece, Values};
-pub use watch::{Action, Event, Mode, Watch, TOLD};
+pub use stream::{Garbled, ObjectStream, Piece};
+pub use watch::{Action, Event, Mode, Watch, STALENESS_MOST};
--- a/crates/discovery/src/values.rs
+++ b/crates/discovery/src/stream.rs
@@ -8,7 +8,7 @@
     /// A whole object, as it was written.
     Object(Vec<u8>),
     /// The end of a line between two objects: the other side is alive.
-    Line,
+    EmptyLine,
 }
 
 /// What the stream holds can't be read, and nothing behind it can be trusted.
@@ -36,7 +36,7 @@
 
 /// Takes a stream apart as it comes. Each byte is looked at once.
 #[derive(Debug)]
-pub struct Values {
+pub struct ObjectStream {
     object: Vec<u8>,
     depth: usize,
     in_string: bool,
@@ -44,10 +44,10 @@
     most: usize,
 }
 
-impl Values {
+impl ObjectStream {
     /// For objects of up to `most` bytes.
-    pub fn new(most: usize) -> Values {
-        Values { object: Vec::new(), depth: 0, in_string: false, escaped: false, most }
+    pub fn new(most: usize) -> ObjectStream {
+        ObjectStream { object: Vec::new(), depth: 0, in_string: false, escaped: false, most }
     }
 
     /// Takes bytes in and hands on each piece that they complete.
@@ -59,7 +59,7 @@
                         self.depth = 1;
                         self.object.push(byte);
                     }
-                    b'\n' => take(Piece::Line),
+                    b'\n' => take(Piece::EmptyLine),
                     _ if byte.is_ascii_whitespace() => {}
                     _ => return Err(Garbled::NoObject),
                 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,7 +2,7 @@
 
 use super::io::{Io, Wire};
 use bytes::Bytes;
-use dewrun_discovery::{Action, Event, Mode, Piece, Values, Watch};
+use dewrun_discovery::{Action, Event, Mode, ObjectStream, Piece, Watch};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{header::HOST, Request, StatusCode};
 use rand::{Rng, SeedableRng};
@@ -326,21 +326,21 @@
 }
 
 /// What a call to discovery brings.
-enum Said {
-    Answered,
-    Alive,
+enum Message {
+    Connected,
+    Heartbeat,
     List(List),
 }
 
 /// Calls discovery and watches from version `index` until the watch ends, and gives why. Where no version is known, the
 /// whole list is asked for first: versions of one address mean nothing at another.
-async fn call(address: SocketAddr, index: &mut Option<u64>, mut on: impl FnMut(Said)) -> String {
+async fn call(address: SocketAddr, index: &mut Option<u64>, mut on: impl FnMut(Message)) -> String {
     let from = match *index {
         Some(from) => from,
         None => {
             let Some(list) = whole_list(address).await else { return "no whole list".into() };
             let from = *index.insert(list.index);
-            on(Said::List(list));
+            on(Message::List(list));
             from
         }
     };
@@ -349,10 +349,10 @@
         Ok(opened) => opened,
         Err(why) => return why,
     };
-    on(Said::Answered);
+    on(Message::Connected);
     tokio::pin!(connection);
     let mut connected = true;
-    let mut values = Values::new(LIST_MOST);
+    let mut objects = ObjectStream::new(LIST_MOST);
     loop {
         let frame = tokio::select! {
             biased;
@@ -363,18 +363,18 @@
             }
         };
         let data = match frame {
-            None => return values.end().map_or_else(|e| e.to_string(), |()| "it ended".into()),
+            None => return objects.end().map_or_else(|e| e.to_string(), |()| "it ended".into()),
             Some(Err(e)) => return e.to_string(),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         let mut fault = None;
-        let fed = values.feed(&data, |piece| match piece {
-            Piece::Line => on(Said::Alive),
+        let fed = objects.feed(&data, |piece| match piece {
+            Piece::EmptyLine => on(Message::Heartbeat),
             Piece::Object(_) if fault.is_some() => {}
             Piece::Object(text) => match List::read(&text, *index) {
                 Ok(list) => {
                     *index = Some(list.index);
-                    on(Said::List(list));
+                    on(Message::List(list));
                 }
                 Err(why) => {
                     // Nothing more can be told from where this stood.
@@ -411,17 +411,17 @@
     let mut failing = false;
     loop {
         wakes().await;
-        if happens(Event::Passed) != Some(Action::Call) {
+        if happens(Event::Elapsed) != Some(Action::Connect) {
             continue;
         }
         let mut got = false;
         let why = {
-            let called = call(address, &mut index, |said| {
-                got |= !matches!(said, Said::Answered);
-                happens(match said {
-                    Said::Answered => Event::Answered,
-                    Said::Alive => Event::Alive,
-                    Said::List(list) => {
+            let called = call(address, &mut index, |message| {
+                got |= !matches!(message, Message::Connected);
+                happens(match message {
+                    Message::Connected => Event::Connected,
+                    Message::Heartbeat => Event::Heartbeat,
+                    Message::List(list) => {
                         take(list);
                         Event::List
                     }
@@ -436,7 +436,7 @@
                         break why;
                     }
                     () = wakes() => {
-                        if happens(Event::Passed) == Some(Action::HangUp) {
+                        if happens(Event::Elapsed) == Some(Action::Disconnect) {
                             break "no word in time".into();
                         }
                     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -82,7 +82,7 @@
 /// Until when a request that may have run can go out again. The module decides by the same rule when it sends; this holds
 /// it up to the last byte, as a connection may come up late.
 #[derive(Clone, Copy)]
-enum Repeats {
+enum RetryWindow {
     /// Whenever.
     Free,
     /// For so long after the first attempt that may have run was sent.
@@ -91,21 +91,21 @@
     Never,
 }
 
-impl Repeats {
-    fn of(class: &Class) -> Repeats {
+impl RetryWindow {
+    fn of(class: &Class) -> RetryWindow {
         match class.effect {
-            Effect::Repeatable => Repeats::Free,
-            Effect::Keyed => Repeats::Within(span(class.window_ms)),
-            Effect::Once => Repeats::Never,
+            Effect::Repeatable => RetryWindow::Free,
+            Effect::Keyed => RetryWindow::Within(span(class.window_ms)),
+            Effect::Once => RetryWindow::Never,
         }
     }
 
     /// By when the last byte of the next attempt has to be written.
-    fn write_by(self, first_risk: Instant) -> Option<Instant> {
+    fn write_by(self, may_have_run_since: Instant) -> Option<Instant> {
         match self {
-            Repeats::Free => None,
-            Repeats::Within(window) => Some(first_risk + window),
-            Repeats::Never => Some(first_risk),
+            RetryWindow::Free => None,
+            RetryWindow::Within(window) => Some(may_have_run_since + window),
+            RetryWindow::Never => Some(may_have_run_since),
         }
     }
 }
@@ -141,9 +141,9 @@
     /// Taken by the final answer; empty from then on, and once the caller has left.
     answer: Option<oneshot::Sender<Final>>,
     client: Rc<Wire>,
-    repeats: Repeats,
+    retry_window: RetryWindow,
     /// When the first attempt that may have run was sent, if any may have.
-    first_risk: Option<Instant>,
+    may_have_run_since: Option<Instant>,
     attempts: u32,
     /// Whether any of them went out.
     went_out: bool,
@@ -247,7 +247,7 @@
     seed: u64,
     must_subscribe: bool,
     classes: Vec<String>,
-    repeats: Vec<Repeats>,
+    retry_windows: Vec<RetryWindow>,
     /// For each class whose repeats only a group drops, in a fleet: for how long.
     cell_windows: Vec<Option<Millis>>,
     max_attempts: u32,
@@ -276,7 +276,7 @@
             seed: start.seed,
             must_subscribe: settings.must_subscribe,
             classes: settings.classes.iter().map(|class| class.name.clone()).collect(),
-            repeats: settings.classes.iter().map(Repeats::of).collect(),
+            retry_windows: settings.classes.iter().map(RetryWindow::of).collect(),
             cell_windows,
             max_attempts: settings.allowed.max_attempts.min(u32::from(u8::MAX)),
             max_open: start.max_open.min(settings.allowed.max_open as usize),
@@ -431,8 +431,12 @@
             deadline: asked.deadline,
             answer: Some(answer),
             client: asked.client,
-            repeats: self.repeats.get(usize::from(asked.class)).copied().unwrap_or(Repeats::Never),
-            first_risk: None,
+            retry_window: self
+                .retry_windows
+                .get(usize::from(asked.class))
+                .copied()
+                .unwrap_or(RetryWindow::Never),
+            may_have_run_since: None,
             attempts: 0,
             went_out: false,
             counts: asked.attempts,
@@ -503,7 +507,7 @@
         // What it held is free for the next.
         drop(out);
         if !ended.outcome.never_ran() {
-            open.first_risk = open.first_risk.or(Some(sent));
+            open.may_have_run_since = open.may_have_run_since.or(Some(sent));
         }
         open.last_word = ended.last_word.or(open.last_word.take());
         let last = match (ended.answer, ended.rejected) {
@@ -711,7 +715,7 @@
             deadline: open.deadline,
             most: if timeout_ms == 0.0 { span(SPAN_MOST) } else { span(timeout_ms) },
             connect: if connect_ms == 0.0 { span(SPAN_MOST) } else { span(connect_ms) },
-            write_by: open.first_risk.and_then(|at| open.repeats.write_by(at)),
+            write_by: open.may_have_run_since.and_then(|at| open.retry_window.write_by(at)),
         };
         let (me, inbound) = (self.me.clone(), open.inbound.clone());
         spawn_local(async move {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -46,7 +46,9 @@
 const OVERDUE: Duration = Duration::from_millis(10);
 /// After SIGTERM connections still come for a while, so it ends no sooner.
 const STOP_LEAST: Duration = Duration::from_millis(550);
-const STOP_LAST: Duration = Duration::from_millis(150);
+const STOP_LAST: Duration = Duration::from_millis(130);
+/// How long the listeners may take to close.
+const SHUT_MOST: Duration = Duration::from_millis(20);
 
 /// A reply to a caller.
 pub type Reply = Response<ReplyBody>;
@@ -381,10 +383,13 @@
             self.close_due();
             sleep(Duration::from_millis(20)).await;
         }
+        // From here on connections are refused by the kernel, and what is asked on those that there are by the front. In this
+        // order, as whoever is failed may ask again at once.
+        self.shut.send_replace(true);
+        // A flood may keep them from it: then it goes on as before, and what comes is refused.
+        let _ = timeout(SHUT_MOST, self.shut.closed()).await;
         self.front.close_all();
         let last = Instant::now();
-        // From here on connections are refused by the kernel, and what is asked on those that there are by the front.
-        self.shut.send_replace(true);
         while !self.callers.borrow().is_empty() && last.elapsed() < STOP_LAST {
             self.close_waiting();
             sleep(Duration::from_millis(5)).await;
