--- /dev/null
+++ b/crates/budgets/tests/divide.rs
@@ -0,0 +1,81 @@
+//! Dividing a whole by demand.
+
+use dewrun_budgets::divide::*;
+use dewrun_budgets::*;
+use proptest::prelude::*;
+
+fn of(demands: &[u64]) -> Vec<Claim> {
+    demands.iter().map(|demand| Claim { demand: *demand, weight: 1 }).collect()
+}
+
+#[test]
+fn demand_is_met_from_below_and_the_rest_is_spread() {
+    for (units, places, demands, shares) in [
+        (90, 90, &[10, 200, 200][..], &[10, 40, 40][..]),
+        (90, 90, &[10, 10, 10], &[30, 30, 30]),
+        (90, 90, &[0, 0, 600], &[0, 0, 90]),
+        (90, 90, &[0, 0, 30], &[20, 20, 50]),
+        (90, 90, &[0, 0, 0], &[30, 30, 30]),
+        (90, 2, &[10, 500, 700], &[0, 45, 45]),
+        (90, 2, &[0, 0, 0], &[45, 45, 0]),
+        (90, 2, &[1, 0, 700], &[1, 0, 89]),
+        (90, 2, &[1, 0, 30], &[30, 0, 59]),
+        (1, 9, &[5, 5], &[1, 0]),
+        (0, 1, &[5], &[0]),
+        (7, 1, &[], &[]),
+    ] {
+        let whole = Part { units, burst: places * TOKEN };
+        let divided = divide(whole, &of(demands));
+        let all: Vec<u64> = divided.iter().map(|part| part.units).collect();
+        assert_eq!(all, shares, "{units} {places} {demands:?}");
+    }
+}
+
+#[test]
+fn one_that_is_asked_for_little_has_a_token_and_no_more_than_it_needs() {
+    let demands: Vec<u64> = (0..12).map(|n| if n == 0 { 300_000 } else { 5_000 }).collect();
+    let shares = divide(Part { units: 199_000, burst: 20 * TOKEN }, &of(&demands));
+    assert_eq!(shares[0].units, 199_000 - 11 * 5_000);
+    assert!(shares.iter().all(|part| part.burst >= TOKEN), "{shares:?}");
+    assert!(shares[0].burst > 3 * TOKEN, "{shares:?}");
+}
+
+#[test]
+fn worth_goes_before_count() {
+    let claims = [Claim { demand: 100, weight: 3 }, Claim { demand: 100, weight: 1 }];
+    let shares: Vec<u64> = divide(Part { units: 80, burst: 0 }, &claims).iter().map(|p| p.units).collect();
+    assert_eq!(shares, [60, 20]);
+}
+
+proptest! {
+    #[test]
+    fn never_more_than_the_whole_and_no_envy(
+        units in 0u64..100_000,
+        tokens in 0u64..60,
+        claims in prop::collection::vec((0u64..50_000, 1u32..10), 0..40),
+    ) {
+        let claims: Vec<Claim> =
+            claims.into_iter().map(|(demand, weight)| Claim { demand, weight }).collect();
+        let whole = Part { units, burst: tokens * TOKEN };
+        let shares = divide(whole, &claims);
+        prop_assert!(shares.iter().copied().sum::<Part>().is_within(whole));
+        prop_assert!(shares.iter().all(|part| part.units == 0 || tokens == 0 || part.burst >= TOKEN));
+        let asking = claims.iter().filter(|claim| claim.demand > 0).count() as u64;
+        if asking <= units && (tokens == 0 || asking <= tokens) && asking > 0 {
+            // All that is asked for is spent, but for what rounding loses.
+            let asked: u64 = claims.iter().map(|claim| claim.demand).sum();
+            let met: u64 = claims.iter().zip(&shares).map(|(claim, part)| claim.demand.min(part.units)).sum();
+            let rest = claims.len() as u64 + asking;
+            prop_assert!(met + rest >= asked.min(units), "{met} of {asked} and {units}");
+            // Who is short has no less for its weight than another.
+            for (a, own) in claims.iter().zip(&shares) {
+                for (b, other) in claims.iter().zip(&shares) {
+                    if own.units < a.demand && b.demand > 0 {
+                        let own = (own.units + 2) as f64 / f64::from(a.weight);
+                        prop_assert!(own >= other.units.saturating_sub(2) as f64 / f64::from(b.weight));
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/figures.rs
@@ -0,0 +1,48 @@
+//! Figures, as they are read.
+
+use dewrun_control::*;
+
+fn lines(figures: &Figures) -> Vec<String> {
+    let text = figures.text(Members { listed: 7, avoided: 2 });
+    text.lines().filter(|line| !line.starts_with('#')).map(String::from).collect()
+}
+
+#[test]
+fn every_line_stands_there_from_the_start() {
+    let figures = Figures::new(["read", "a \"b\"\\"]);
+    let lines = lines(&figures);
+    assert_eq!(lines.len(), 2 * 3 + 6, "{lines:?}");
+    for line in [
+        "svc_results_total{service=\"read\",disposition=\"succeeded\"} 0",
+        "svc_results_total{service=\"a \\\"b\\\"\\\\\",disposition=\"aborted\"} 0",
+        "svc_forwards_total 0",
+        "svc_outstanding 0",
+        "svc_discovered 7",
+        "svc_ejected 2",
+        "svc_sighup_applied_total 0",
+        "svc_sighup_rejected_total 0",
+    ] {
+        assert!(lines.iter().any(|l| l == line), "{line} in {lines:?}");
+    }
+}
+
+#[test]
+fn each_request_is_counted_once_and_only_when_it_has_ended() {
+    let figures = Figures::new(["read", "write"]);
+    let mut all: Vec<Tally> = (0..6).map(|n| figures.taken(n % 2)).collect();
+    assert!(lines(&figures).contains(&"svc_outstanding 6".to_string()));
+    all[0].ends(Disposition::Succeeded);
+    all[1].ends(Disposition::Declined);
+    assert!(lines(&figures).contains(&"svc_outstanding 6".to_string()), "known is not ended");
+    drop(all);
+    let lines = lines(&figures);
+    for line in [
+        "svc_results_total{service=\"read\",disposition=\"succeeded\"} 1",
+        "svc_results_total{service=\"read\",disposition=\"aborted\"} 2",
+        "svc_results_total{service=\"write\",disposition=\"declined\"} 1",
+        "svc_results_total{service=\"write\",disposition=\"aborted\"} 2",
+        "svc_outstanding 0",
+    ] {
+        assert!(lines.iter().any(|l| l == line), "{line} in {lines:?}");
+    }
+}
--- /dev/null
+++ b/crates/forwarding/tests/forwarding.rs
@@ -0,0 +1,116 @@
+//! An intermediary's headers, and what can be repeated.
+
+use dewrun_forwarding::*;
+use http::*;
+
+fn headers(pairs: &[(&str, &str)]) -> HeaderMap {
+    let pair =
+        |(name, value): &(&str, &str)| (name.parse().expect("a name"), value.parse().expect("a value"));
+    pairs.iter().map(pair).collect::<HeaderMap>()
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Vec<String> {
+    headers.get_all(name).iter().map(|v| v.to_str().expect("text").to_string()).collect()
+}
+
+#[test]
+fn what_belongs_to_one_connection_stays_on_it() {
+    let mut all = HeaderMap::new();
+    for (name, value) in [
+        ("connection", "close, X-Hop , x-other"),
+        ("connection", "X-Third, Idempotency-Key, Host, X-Forwarded-For"),
+        ("x-hop", "1"),
+        ("x-other", "1"),
+        ("x-third", "1"),
+        ("keep-alive", "timeout=5"),
+        ("proxy-connection", "close"),
+        ("proxy-authorization", "Basic x"),
+        ("te", "trailers"),
+        ("trailer", "x-sum"),
+        ("transfer-encoding", "chunked"),
+        ("upgrade", "h2c"),
+        ("expect", "100-continue"),
+        ("host", "a"),
+        ("idempotency-key", "k"),
+        ("x-forwarded-for", "1.2.3.4"),
+        ("x-kept", "1"),
+    ] {
+        all.append(name.parse::<HeaderName>().expect("a name"), value.parse().expect("a value"));
+    }
+    strip(&mut all);
+    let mut left: Vec<&str> = all.keys().map(HeaderName::as_str).collect();
+    left.sort_unstable();
+    assert_eq!(left, ["host", "idempotency-key", "x-forwarded-for", "x-kept"]);
+}
+
+#[test]
+fn only_a_trusted_peer_is_believed_about_where_a_request_came_from() {
+    let claimed = [
+        ("host", "shop.example:80"),
+        ("x-forwarded-for", "9.9.9.9"),
+        ("forwarded", "for=9.9.9.9"),
+        ("x-forwarded-proto", "https"),
+        ("x-real-ip", "9.9.9.9"),
+    ];
+    let peer = "10.0.0.7".parse().expect("an address");
+    let mut kept = headers(&claimed);
+    tell_origin(&mut kept, peer, true);
+    assert_eq!(text(&kept, "x-forwarded-for"), ["9.9.9.9, 10.0.0.7"]);
+    let own = "for=10.0.0.7;host=\"shop.example:80\";proto=http";
+    assert_eq!(text(&kept, "forwarded"), [format!("for=9.9.9.9, {own}")]);
+    assert_eq!(text(&kept, "x-forwarded-proto"), ["https"]);
+    let mut dropped = headers(&claimed);
+    tell_origin(&mut dropped, peer, false);
+    assert_eq!(text(&dropped, "x-forwarded-for"), ["10.0.0.7"]);
+    assert_eq!(text(&dropped, "forwarded"), [own]);
+    assert_eq!(text(&dropped, "x-forwarded-proto"), ["http"]);
+    assert_eq!(text(&dropped, "x-forwarded-host"), ["shop.example:80"]);
+    assert!(text(&dropped, "x-real-ip").is_empty());
+}
+
+#[test]
+fn an_ipv6_peer_is_quoted_and_a_strange_host_is_left_out() {
+    let mut all = headers(&[("host", "a\";x=\"b")]);
+    tell_origin(&mut all, "fe80::1".parse().expect("an address"), false);
+    assert_eq!(text(&all, "forwarded"), ["for=\"[fe80::1]\";proto=http"]);
+    tell_origin(&mut all, "::ffff:10.0.0.1".parse().expect("an address"), true);
+    assert_eq!(text(&all, "x-forwarded-for"), ["fe80::1, 10.0.0.1"]);
+}
+
+#[test]
+fn a_message_says_what_it_went_through() {
+    let mut all = headers(&[("via", "1.0 first")]);
+    via(&mut all, Version::HTTP_11, "edge");
+    via(&mut all, Version::HTTP_10, "edge2");
+    assert_eq!(text(&all, "via"), ["1.0 first, 1.1 edge, 1.0 edge2"]);
+    proxy_status(&mut all, "edge", "received-status=503");
+    assert_eq!(text(&all, "proxy-status"), ["edge; received-status=503"]);
+}
+
+#[test]
+fn an_upgrade_needs_both_headers_and_connect_is_one() {
+    let both = headers(&[("connection", "keep-alive, Upgrade"), ("upgrade", "websocket")]);
+    assert!(is_upgrade(&Method::GET, &both));
+    assert!(is_upgrade(&Method::CONNECT, &HeaderMap::new()));
+    assert!(!is_upgrade(&Method::GET, &headers(&[("upgrade", "h2c")])));
+    assert!(!is_upgrade(&Method::GET, &headers(&[("connection", "upgrade")])));
+}
+
+#[test]
+fn the_class_and_the_method_say_what_can_be_repeated() {
+    use {Declared::*, Repeat::*};
+    for (method, key, by_method, repeatable, keyed) in [
+        (Method::GET, false, Anywhere, Anywhere, Anywhere),
+        (Method::HEAD, false, Anywhere, Anywhere, Anywhere),
+        (Method::OPTIONS, false, Anywhere, Anywhere, Anywhere),
+        (Method::PUT, false, Never, Anywhere, Never),
+        (Method::DELETE, true, Never, Anywhere, WithKey),
+        (Method::POST, false, Never, Never, Never),
+        (Method::POST, true, Never, Never, WithKey),
+        (Method::PATCH, true, Never, Never, WithKey),
+        (Method::from_bytes(b"PURGE").expect("a method"), false, Never, Never, Never),
+    ] {
+        let all = [ByMethod, Repeatable, Keyed, Once].map(|declared| repeat(declared, &method, key));
+        assert_eq!(all, [by_method, repeatable, keyed, Never], "{method} {key}");
+    }
+}
--- /dev/null
+++ b/crates/routes/tests/pattern.rs
@@ -0,0 +1,113 @@
+//! Patterns of hosts and paths.
+
+use dewrun_routes::*;
+
+#[test]
+fn a_path_has_one_normal_form() {
+    for (path, normal) in [
+        ("/", "/"),
+        ("/a/b", "/a/b"),
+        ("/a/b/", "/a/b/"),
+        ("//a///b", "/a/b"),
+        ("/a/./b", "/a/b"),
+        ("/a/b/..", "/a/"),
+        ("/a/b/../c", "/a/c"),
+        ("/a/%2e%2E/c", "/c"),
+        ("/a/.", "/a/"),
+        ("/%41%7e", "/A~"),
+        ("/a%2fb", "/a%2Fb"),
+        ("/a%5cb", "/a%5Cb"),
+        ("/.well-known/x", "/.well-known/x"),
+        ("/a/...", "/a/..."),
+        ("/A", "/A"),
+        ("/%e2%82%ac", "/%E2%82%AC"),
+    ] {
+        assert_eq!(normalise(path).as_deref(), Ok(normal), "{path}");
+    }
+}
+
+#[test]
+fn a_path_that_could_be_read_in_two_ways_is_a_fault() {
+    use PathFault::*;
+    for (path, fault) in [
+        ("", NotAbsolute),
+        ("a", NotAbsolute),
+        ("*", NotAbsolute),
+        ("/..", AboveRoot),
+        ("/a/../../b", AboveRoot),
+        ("/%2e%2e/", AboveRoot),
+        ("/%", BadEscape),
+        ("/%4", BadEscape),
+        ("/%zz", BadEscape),
+        ("/%00", BadByte),
+        ("/%0a", BadByte),
+        ("/%7f", BadByte),
+        ("/a\\b", BadByte),
+        ("/a b", BadByte),
+        ("/\u{20ac}", BadByte),
+        ("/a/..;x/b", DotParameters),
+        ("/a/.;/b", DotParameters),
+        ("/a/%2e%2e;/b", DotParameters),
+    ] {
+        assert_eq!(normalise(path), Err(fault), "{path}");
+    }
+}
+
+#[test]
+fn a_host_loses_its_case_its_port_and_its_last_dot() {
+    for (host, normal) in [
+        ("Shop.Example", Some("shop.example")),
+        ("shop.example:8080", Some("shop.example")),
+        ("shop.example:", Some("shop.example")),
+        ("shop.example.", Some("shop.example")),
+        ("127.0.0.1:80", Some("127.0.0.1")),
+        ("[::1]:80", Some("[::1]")),
+        ("[::1]", Some("[::1]")),
+        ("", None),
+        (".", None),
+        (":80", None),
+        ("a:b", None),
+        ("a:1:2", None),
+        ("a:123456", None),
+        ("::1", None),
+        ("[::1", None),
+        ("[]", None),
+        ("[::1]x", None),
+        ("a b", None),
+        ("a/b", None),
+        ("user@a", None),
+        ("a,b", None),
+    ] {
+        assert_eq!(normalise_host(host).as_deref(), normal, "{host}");
+    }
+}
+
+#[test]
+fn patterns_are_read_or_refused_with_the_reason() {
+    assert_eq!(HostPattern::parse("*.Example"), Ok(HostPattern::Suffix("example".into())));
+    assert_eq!(HostPattern::parse("*"), Ok(HostPattern::Any));
+    for host in ["", "*.", "a.*", "a:80", "*.[::1]", "a b"] {
+        assert_eq!(HostPattern::parse(host), Err(PatternFault::Host), "{host}");
+    }
+    let pattern = PathPattern::parse("/users/{id}/files/*").expect("a pattern");
+    assert!(pattern.prefix && pattern.segments.len() == 3);
+    assert_eq!(pattern.parameters().collect::<Vec<_>>(), ["id"]);
+    assert_eq!(PathPattern::parse("/*").map(|p| (p.segments.len(), p.prefix)), Ok((0, true)));
+    assert_eq!(PathPattern::parse("/").map(|p| (p.segments.len(), p.prefix)), Ok((1, false)));
+    for (path, fault) in [
+        ("", PatternFault::Path(PathFault::NotAbsolute)),
+        ("a", PatternFault::Path(PathFault::NotAbsolute)),
+        ("/a//b", PatternFault::NotNormal("/a/b".into())),
+        ("/%41", PatternFault::NotNormal("/A".into())),
+        ("/a//*", PatternFault::NotNormal("/a/*".into())),
+        ("/a*", PatternFault::Star),
+        ("/*/a", PatternFault::Star),
+        ("/a{b}", PatternFault::Parameter),
+        ("/{}", PatternFault::Parameter),
+        ("/{a b}", PatternFault::Path(PathFault::BadByte)),
+        ("/{a-b}", PatternFault::Parameter),
+        ("/{a}/{a}", PatternFault::Twice("a".into())),
+    ] {
+        assert_eq!(PathPattern::parse(path), Err(fault), "{path}");
+    }
+}
--- /dev/null
+++ b/src/net/driver/actions.rs
@@ -0,0 +1,265 @@
+//! Carrying out what the module wants: attempts, timers, probes, the watch on discovery.
+
+use super::*;
+
+impl Driver {
+    pub(super) fn carry_out(&self, state: &mut State, action: Action) {
+        match action {
+            Action::Send { request, backend, timeout_ms, connect_ms } => {
+                self.send(state, request, backend, (timeout_ms, connect_ms));
+            }
+            Action::Refuse { request, retry_after_ms, why } => {
+                self.count(state, why, |unserved| &mut unserved.refused);
+                Driver::finish(state, request, Final::Refused(retry_after_ms), why.text());
+            }
+            Action::Fail { request, why } => {
+                self.count(state, why, |unserved| &mut unserved.failed);
+                Driver::finish(state, request, Final::Failed, why.text());
+            }
+            Action::Cancel { request, attempt } => {
+                let out = state.open.get_mut(&request).and_then(|open| open.out.as_mut());
+                if let Some(cancel) = out.filter(|o| o.attempt == attempt).and_then(|o| o.cancel.take()) {
+                    let _ = cancel.send(());
+                }
+            }
+            Action::SetTimer { after_ms, token } => self.later(after_ms, token),
+            Action::Probe { backend } => self.probe(state, backend),
+            Action::CloseIdle { backend } => self.upstream.close_idle(backend),
+            // The protocol has no form for these, and the settings permit none.
+            Action::Message { .. } => {}
+            Action::Subscribe { on: true } => self.watch(state),
+            Action::Subscribe { on: false } => {
+                if let Some(watch) = state.watch.take() {
+                    watch.abort();
+                }
+            }
+            Action::Fetch => self.fetch(),
+            // The module limits these itself.
+            Action::Log(line) => info!(pool = self.name, "{line}"),
+            Action::Standing { backend, standing, class, why } => {
+                self.say_standing(state, backend, standing, (class, why));
+            }
+        }
+    }
+
+    pub(super) fn finish(state: &mut State, request: RequestId, with: Final, why: &'static str) {
+        if let Some(open) = state.open.get_mut(&request) {
+            open.finish(with, why);
+        }
+        Driver::forget(state, request);
+    }
+
+    /// Drops a request that is over and has no attempt out.
+    pub(super) fn forget(state: &mut State, request: RequestId) {
+        if state.open.get(&request).is_some_and(|open| open.answer.is_none() && open.out.is_none()) {
+            state.open.remove(&request);
+        }
+    }
+
+    pub(super) fn send(
+        &self,
+        state: &mut State,
+        request: RequestId,
+        backend: BackendId,
+        (timeout_ms, connect_ms): (Millis, Millis),
+    ) {
+        let place = state.directory.place(backend);
+        if state.open.get(&request).is_some_and(|open| open.out.is_none() && open.inbound.body.is_spent()) {
+            // A part of its body has gone out and is not here any more: it may have run, whatever its class allows.
+            Driver::finish(state, request, Final::Failed, "a part of its body went out and is not kept");
+        }
+        let open = state.open.get_mut(&request);
+        // Guards the rules whatever the module says: nothing for a request that is over, no second copy, no
+        // attempt past the most.
+        let fit = open.filter(|o| o.answer.is_some() && o.out.is_none() && o.attempts < self.max_attempts);
+        let (Some(open), Some(place)) = (fit, place) else {
+            return Driver::not_sent(state, request, backend, Outcome::Moot);
+        };
+        let held = match (&self.fleet, &open.counts) {
+            (Some(fleet), Some(counts)) => {
+                match fleet.attempt(counts, open.went_out, state.directory.name(backend)) {
+                    Ok(held) => Some(held),
+                    Err(Denied::Repeat) => {
+                        return Driver::not_sent(state, request, backend, Outcome::Moot);
+                    }
+                    Err(Denied::Member) => {
+                        return Driver::not_sent(state, request, backend, Outcome::NoRoom);
+                    }
+                }
+            }
+            _ => None,
+        };
+        let (cancel, cancelled) = oneshot::channel();
+        open.out = Some(Out { attempt: open.attempts as u8, backend, cancel: Some(cancel), _held: held });
+        open.attempts += 1;
+        open.went_out = true;
+        step!(
+            event = "attempt",
+            id = open.id(),
+            attempt = open.attempts - 1,
+            member = state.directory.name(backend),
+            timeout_ms
+        );
+        let sent = Instant::now();
+        let times = AttemptTimes {
+            deadline: open.deadline,
+            most: if timeout_ms == 0.0 { span(SPAN_MOST) } else { span(timeout_ms) },
+            connect: if connect_ms == 0.0 { span(SPAN_MOST) } else { span(connect_ms) },
+            write_by: open.may_have_run_since.and_then(|at| open.retry_window.write_by(at)),
+        };
+        let (me, inbound) = (self.me.clone(), open.inbound.clone());
+        spawn_local(async move {
+            let Some(driver) = me.upgrade() else { return };
+            let still_there = || driver.is_ready(backend, place);
+            let may_begin = || driver.may_begin(request, backend, place, times);
+            let upstream = driver.upstream.clone();
+            let attempt = async {
+                let begin = |answer| driver.answer_begun(request, backend, sent, answer);
+                upstream
+                    .attempt((backend, place.address), &inbound, times, may_begin, still_there, begin)
+                    .await
+            };
+            let ended = tokio::select! {
+                biased;
+                ended = attempt => ended,
+                // The attempt was dropped, and its connection closed, before this is told.
+                Ok(()) = cancelled => Ended::now(Outcome::Cancelled),
+            };
+            if ended.answer.is_none() && driver.client_left(request) {
+                // Told before the outcome, or the module would decide on one more attempt. An answer that is there is
+                // passed on: a client may have ended its own side alone.
+                driver.close(request);
+            }
+            driver.attempt_ended(request, backend, sent, ended);
+        });
+    }
+
+    /// Whether a backend takes requests where it stood when it was chosen, by the list as it is now: by the time when the
+    /// first byte is about to leave, or when a connection would go back to the pool, it may drain, or another may stand
+    /// at its address.
+    pub(super) fn is_ready(&self, backend: BackendId, place: Place) -> bool {
+        let state = self.state.borrow();
+        state.directory.place(backend) == Some(place) && place.state == BackendState::Ready
+    }
+
+    /// Whether the client of an open request has gone.
+    pub(super) fn client_left(&self, request: RequestId) -> bool {
+        let state = self.state.borrow();
+        state.open.get(&request).is_some_and(|open| open.answer.is_some() && open.client.has_left())
+    }
+
+    /// Whether an attempt may begin, asked directly before its first byte is written: nothing that was true when it was
+    /// decided need hold any more. All that can have changed is looked at here and nowhere else.
+    pub(super) fn may_begin(
+        &self,
+        request: RequestId,
+        backend: BackendId,
+        place: Place,
+        times: AttemptTimes,
+    ) -> Result<(), Outcome> {
+        let is_owed = self.state.borrow().open.get(&request).is_some_and(|open| open.answer.is_some());
+        if !is_owed || self.client_left(request) || times.is_late_to_write() {
+            return Err(Outcome::Moot);
+        }
+        // Guards a drain that was told while the connection came up: nothing new may start then.
+        if self.is_ready(backend, place) {
+            Ok(())
+        } else {
+            Err(Outcome::ConnectFailed)
+        }
+    }
+
+    /// Tells of an attempt that did not go out.
+    pub(super) fn not_sent(state: &mut State, request: RequestId, backend: BackendId, outcome: Outcome) {
+        let mut open = state.open.get_mut(&request);
+        let event = Event::Outcome {
+            request,
+            attempt: open.as_ref().map_or(0, |open| open.attempts as u8),
+            backend,
+            outcome,
+            took_ms: 0.0,
+            ended: open.as_ref().is_none_or(|open| open.answer.is_none()),
+            report: Report::default(),
+        };
+        if let Some(open) = open.as_mut().filter(|_| outcome == Outcome::NoRoom) {
+            // It counts as one, so that a request does not go round all members.
+            open.attempts += 1;
+        }
+        step!(
+            event = "not sent",
+            id = open.as_deref().map_or("-", Open::id),
+            member = state.directory.name(backend),
+            ?outcome
+        );
+        state.happened.push_back(Happening::Event(event));
+    }
+
+    pub(super) fn later(&self, after_ms: Millis, token: u64) {
+        let me = self.me.clone();
+        spawn_local(async move {
+            tokio::time::sleep(span(after_ms)).await;
+            if let Some(driver) = me.upgrade() {
+                driver.event(Event::Timer { token });
+            }
+        });
+    }
+
+    pub(super) fn probe(&self, state: &State, backend: BackendId) {
+        let (me, upstream, path) = (self.me.clone(), self.upstream.clone(), self.probe_path);
+        let (place, sent) = (state.directory.place(backend), Instant::now());
+        spawn_local(async move {
+            let ended = match place {
+                Some(place) => upstream.probe(place.address, path).await,
+                None => Ended::now(Outcome::Moot),
+            };
+            let Some(driver) = me.upgrade() else { return };
+            let took_ms = ended.at.saturating_duration_since(sent).as_secs_f64() * 1000.0;
+            let (outcome, report) = (ended.outcome, ended.report);
+            driver.event(Event::ProbeResult { backend, outcome, took_ms, report });
+        });
+    }
+
+    /// Follows the list from the version held. Where lists are pushed this goes on for ever; where they are
+    /// asked for, the module is told of the end and decides when to ask again.
+    pub(super) fn watch(&self, state: &mut State) {
+        if let Some(watch) = state.watch.take() {
+            watch.abort();
+        }
+        let Membership::Discovery(address) = self.membership.get() else { return };
+        let (me, index, seed) = (self.me.clone(), state.index, self.seed);
+        let mode = if self.must_subscribe { Mode::Asked } else { Mode::Pushed };
+        let take = move |list: List| {
+            if let Some(driver) = me.upgrade() {
+                driver.take_list(&list, None);
+            }
+        };
+        let me = self.me.clone();
+        let watch = spawn_local(async move {
+            // Returns only where the module decides when to ask again.
+            discovery::follow(address, mode, index, seed, take).await;
+            if let Some(driver) = me.upgrade() {
+                driver.list_failed();
+            }
+        });
+        state.watch = Some(watch.abort_handle());
+    }
+
+    pub(super) fn fetch(&self) {
+        let Membership::Discovery(address) = self.membership.get() else { return };
+        let me = self.me.clone();
+        spawn_local(async move {
+            let list = discovery::fetch(address).await;
+            let Some(driver) = me.upgrade() else { return };
+            match list.filter(|_| driver.membership.get() == Membership::Discovery(address)) {
+                Some(list) => driver.take_list(&list, None),
+                None => driver.list_failed(),
+            }
+        });
+    }
+
+    pub(super) fn list_failed(&self) {
+        let state = &mut *self.state.borrow_mut();
+        let version = state.index.unwrap_or_default() as u32;
+        self.handle(state, Happening::List(ListKind::Failed, version, Vec::new()));
+    }
+}
--- /dev/null
+++ b/src/net/driver/open.rs
@@ -0,0 +1,130 @@
+//! An open request: what was asked, what is out for it, and its one final answer.
+
+use super::*;
+
+/// The final answer to a caller.
+pub enum Final {
+    /// A backend's answer.
+    Served(Answer),
+    /// Trying again is harmless; not before so many milliseconds, if above 0.
+    Refused(Millis),
+    /// Promises nothing.
+    Failed,
+    /// A backend found fault with the request itself, and would again.
+    Rejected(StatusCode),
+    /// A backend's own word of a failure, after which nothing better came.
+    LastWord(Answer),
+}
+
+impl Final {
+    /// Its name in the trace.
+    fn name(&self) -> &'static str {
+        match self {
+            Final::Served(_) => "served",
+            Final::Refused(_) => "refused",
+            Final::Failed => "failed",
+            Final::Rejected(_) => "rejected",
+            Final::LastWord(_) => "last word",
+        }
+    }
+}
+
+/// What a request is, in the module's terms.
+pub struct Asked {
+    /// Its class.
+    pub class: u8,
+    /// Its tenant.
+    pub tenant: u16,
+    /// What it is about.
+    pub key: Option<u64>,
+    /// Expected work.
+    pub hint_ms: Option<Millis>,
+    /// A client's repeat.
+    pub repeat: bool,
+    /// It writes.
+    pub write: bool,
+    /// When its client leaves.
+    pub deadline: Instant,
+    /// The budgets of the fleet that its attempts count to, if there are any.
+    pub attempts: Option<Rc<Counts>>,
+    /// The connection of its client: once that has left, no attempt begins.
+    pub client: Rc<Wire>,
+}
+
+/// Until when a request that may have run can go out again. The module decides by the same rule when it sends; this holds
+/// it up to the last byte, as a connection may come up late.
+#[derive(Clone, Copy)]
+pub(super) enum RetryWindow {
+    /// Whenever.
+    Free,
+    /// For so long after the first attempt that may have run was sent.
+    Within(Duration),
+    /// Not at all.
+    Never,
+}
+
+impl RetryWindow {
+    pub(super) fn of(class: &Class) -> RetryWindow {
+        match class.effect {
+            Effect::Repeatable => RetryWindow::Free,
+            Effect::Keyed => RetryWindow::Within(span(class.window_ms)),
+            Effect::Once => RetryWindow::Never,
+        }
+    }
+
+    /// By when the last byte of the next attempt has to be written.
+    pub(super) fn write_by(self, may_have_run_since: Instant) -> Option<Instant> {
+        match self {
+            RetryWindow::Free => None,
+            RetryWindow::Within(window) => Some(may_have_run_since + window),
+            RetryWindow::Never => Some(may_have_run_since),
+        }
+    }
+}
+
+pub(super) struct Out {
+    pub(super) attempt: u8,
+    pub(super) backend: BackendId,
+    pub(super) cancel: Option<oneshot::Sender<()>>,
+    /// What it holds of the fleet's budgets, until it ends.
+    pub(super) _held: Option<Held>,
+}
+
+pub(super) struct Open {
+    pub(super) inbound: Rc<Inbound>,
+    pub(super) deadline: Instant,
+    /// Taken by the final answer; empty from then on, and once the caller has left.
+    pub(super) answer: Option<oneshot::Sender<Final>>,
+    pub(super) client: Rc<Wire>,
+    pub(super) retry_window: RetryWindow,
+    /// When the first attempt that may have run was sent, if any may have.
+    pub(super) may_have_run_since: Option<Instant>,
+    pub(super) attempts: u32,
+    /// Whether any of them went out.
+    pub(super) went_out: bool,
+    pub(super) counts: Option<Rc<Counts>>,
+    pub(super) out: Option<Out>,
+    /// What a backend said that another attempt may better.
+    pub(super) last_word: Option<Answer>,
+}
+
+impl Open {
+    /// The id that its caller gave it, for the trace.
+    pub(super) fn id(&self) -> &str {
+        single(&self.inbound.headers, "request-id").unwrap_or("-")
+    }
+
+    /// Gives the final answer, if none was given. All answers are given here.
+    pub(super) fn answer(&mut self, with: Final, why: &'static str) {
+        let Some(answer) = self.answer.take() else { return };
+        let after_ms = if let Final::Refused(after_ms) = with { Some(after_ms) } else { None };
+        step!(event = "answer", id = self.id(), answer = with.name(), why, retry_after_ms = after_ms);
+        let _ = answer.send(with);
+    }
+
+    /// The same, but that a backend's last word goes before what would be said here.
+    pub(super) fn finish(&mut self, with: Final, why: &'static str) {
+        let with = self.last_word.take().map_or(with, Final::LastWord);
+        self.answer(with, why);
+    }
+}
