Split a process's part in the budgets by accounts, demand, schedule and reports

`crates/budgets/src/node.rs` had 592 lines: what a budget is, what is spent of it, how demand is measured, when shares are asked for and a term is claimed, and what operators are shown.

Now `node` keeps the process (budgets set, spent, messages taken in, leaving), and below it `budget` has the definition and its key, `account` one budget at this process, `demand` the mean that follows sudden changes, `schedule` the questions and claims, `report` what is shown and traced. Public paths, names, numbers and the order of draws are as before.

Private names follow the field: a slot that "spends" is an `Account` with a `Limiter`, `held` is `suspended`, `turn` `next_voter`, `told` `changed_shares`, `was_in_office` `last_term`; bare numbers have names. `Over::of_rate` is documented as it is computed: of the budget that is named and those without room that were checked before it.

--- a/crates/budgets/src/node.rs
+++ b/crates/budgets/src/node.rs
@@ -1,195 +1,54 @@
-//! A process's part in the budgets of its fleet: what it spends, when it asks, when it claims to be the grantor. The
-//! caller tells the time and passes chance in, carries messages, and looks in every few milliseconds.
+//! A process's part in the budgets of its fleet: what it spends, when it asks for shares, when it claims to be the grantor.
+//! It has no clock, randomness or network of its own: the owner passes the time and a random generator in, carries the
+//! messages, and calls [`Node::tick`] every few milliseconds.
+
+mod account;
+mod budget;
+mod demand;
+mod report;
+mod schedule;
+
+pub use budget::{Budget, Limit};
+pub use report::{Lease, Shown};
 
-use crate::bucket::{Bucket, Open};
 use crate::core::{Core, Message};
-use crate::grants::Whole;
-use crate::{Epoch, Id, Life, Micros, Part, Rules, Units};
-use rand::Rng;
+use crate::{Epoch, Id, Life, Micros, Part, Rules};
+use account::{Account, Share};
 use rustc_hash::FxHashMap;
+use schedule::process_to_ask;
 
 const MS: Micros = 1_000;
-/// From one question to the next where something is asked for, and where nothing is.
-const ASK: Micros = 400 * MS;
-const ASK_IDLE: Micros = 1_200 * MS;
-/// How long an answer is waited for before another process is asked.
-const ANSWER: Micros = 150 * MS;
-/// From one claim of a grantor to the next.
-const CLAIM: Micros = 300 * MS;
-/// A voter that knows of no grantor claims after this and a random part of it, for each voter that stands before it.
-const PATIENCE: Micros = 100 * MS;
-/// The time over which demand is averaged, in microseconds. A change that chance does not explain is believed at once.
-const MEAN: f64 = 1_000_000.0;
-/// What a request of worth 1 counts as.
+/// The weight of a request of worth 1.
 pub const WEIGHT: u32 = 16;
-/// How many deviations chance explains.
-const DEVIATIONS: f64 = 3.0;
-
-/// What is limited.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Limit {
-    /// So many a second, and so many at once.
-    Rate {
-        /// Requests a second.
-        rate: f64,
-        /// Requests at once.
-        burst: f64,
-        /// The part of the rate that each voter has without a lease, in requests a second.
-        floor: f64,
-    },
-    /// So many in progress.
-    Open {
-        /// Of them all.
-        most: u64,
-        /// Those that each voter may have without a lease.
-        floor: u64,
-        /// The longest that one may take.
-        longest: Micros,
-    },
-}
-
-/// A number that the whole fleet must not pass.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Budget {
-    /// Its name: what has the same name is one whole.
-    pub name: String,
-    /// Where each member of a pool has a whole of its own: which.
-    pub member: String,
-    /// What is limited.
-    pub limit: Limit,
-}
-
-/// FNV-1a, from where another text ended.
-fn hash(from: u64, text: &str) -> u64 {
-    text.bytes().fold(from, |hash, b| (hash ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
-impl Budget {
-    /// The whole in the terms of leases.
-    pub fn whole(&self) -> Whole {
-        match self.limit {
-            Limit::Rate { rate, burst, floor } => Whole {
-                all: Part { units: (rate * 1e3) as Units, burst: (burst * 1e3) as Units },
-                floor: Part { units: (floor * 1e3) as Units, burst: (burst * floor / rate * 1e3) as Units },
-                timed: true,
-                linger: 0,
-            },
-            Limit::Open { most, floor, longest } => Whole {
-                all: Part { units: most, burst: 0 },
-                floor: Part { units: floor, burst: 0 },
-                timed: false,
-                linger: longest,
-            },
-        }
-    }
-
-    /// What a name stands for in messages.
-    pub fn key(name: &str) -> u64 {
-        hash(0xcbf2_9ce4_8422_2325, name)
-    }
-
-    /// The same of the whole that a member of a pool has for itself.
-    pub fn key_at(name: u64, member: &str) -> u64 {
-        hash(hash(name, "\n"), member)
-    }
-
-    fn own_key(&self) -> u64 {
-        let name = Budget::key(&self.name);
-        if self.member.is_empty() {
-            name
-        } else {
-            Budget::key_at(name, &self.member)
-        }
-    }
-}
-
-#[derive(Clone, Debug)]
-enum Spends {
-    Rate(Bucket),
-    Open(Open),
-}
 
-#[derive(Clone, Debug)]
-struct Slot {
-    budget: Budget,
-    key: u64,
-    spends: Spends,
-    asked: u64,
-    spent: u64,
-    refused: u64,
-    /// The sum of what was asked for since the last question, in sixteenths, and the mean before.
-    worth: u64,
-    weight: u32,
-    /// A second, by the mean of the last moments.
-    demand: f64,
-    metered: (Micros, u64),
-    ask_at: Micros,
-    /// When the last question went out, if nothing has come back.
-    waits_since: Option<Micros>,
-    /// What was last known to be held.
-    held: Part,
-}
-
-/// What an operator is told of one budget.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Shown {
-    /// Its name.
-    pub name: String,
-    /// Of which member, if each has a whole of its own.
-    pub member: String,
-    /// All of it, in requests a second or in requests.
-    pub whole: f64,
-    /// What this process may spend of it now.
-    pub share: f64,
-    /// How long it still may, in microseconds.
-    pub left: Micros,
-    /// What is asked for here a second, or in progress.
-    pub demand: f64,
-    /// Requests that were let in and that were not, since the start.
-    pub spent: u64,
-    /// See above.
-    pub refused: u64,
-    /// For the grantor: what is given, and to how many.
-    pub given: Option<(f64, usize)>,
-}
-
-/// See the module's text.
+/// A process's budgets. See the module's text.
 pub struct Node {
     core: Core,
     rules: Rules,
-    slots: Vec<Slot>,
+    accounts: Vec<Account>,
+    /// The accounts' numbers.
     by_key: FxHashMap<u64, usize>,
     claim_at: Micros,
-    /// The voter that is asked while no grantor is known.
-    turn: usize,
-    /// Neither asks nor claims nor spends: another process has its name.
-    held: bool,
-    was_in_office: Option<Epoch>,
-    /// Wall-clock milliseconds at the start, so that terms go on rising over restarts.
+    /// Counts up to the voter that is asked while no grantor is known.
+    next_voter: usize,
+    /// Neither asks nor claims nor spends: another process has its name, or it has left.
+    suspended: bool,
+    /// The term in which it was the grantor when that was last reported.
+    last_term: Option<Epoch>,
+    /// Wall-clock milliseconds at the start, so that epochs rise over restarts.
     wall_ms: u64,
-    /// Whose shares were told since that was last asked.
-    told: Vec<usize>,
-}
-
-/// A share as it was told.
-#[derive(Clone, Copy, Debug)]
-pub struct Lease<'a> {
-    /// The whole.
-    pub budget: &'a Budget,
-    /// What is held of it.
-    pub share: Part,
-    /// Until when.
-    pub until: Micros,
+    /// The accounts whose shares have changed since that was last reported.
+    changed_shares: Vec<usize>,
 }
 
-/// What a budget says of a request.
+/// Why a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Over {
-    /// The number of the budget that has no more.
+    /// The number of the budget that has no room; of several, the one that has none for longest.
     pub budget: usize,
-    /// When there might be.
+    /// How long until it might have, in microseconds.
     pub after: Micros,
-    /// Whether any of those that have no more is a rate.
+    /// Whether it, or one without room that was checked before it, is a rate.
     pub of_rate: bool,
 }
 
@@ -199,394 +58,167 @@
         Node {
             core: Core::new(now, id, life, voters, &rules),
             rules,
-            slots: Vec::new(),
+            accounts: Vec::new(),
             by_key: FxHashMap::default(),
             claim_at: now,
-            turn: id.0 as usize,
-            held: false,
-            was_in_office: None,
+            next_voter: id.0 as usize,
+            suspended: false,
+            last_term: None,
             wall_ms,
-            told: Vec::new(),
+            changed_shares: Vec::new(),
         }
     }
 
-    /// Sets the budgets. One of the name of another goes on with its share and its counts; one that is gone counts on for as
-    /// long as something is open under it, for it may come back.
+    /// Sets the budgets. One that was there by its key goes on with its share and its counts. One that is gone counts on for
+    /// as long as a request is in progress under it, as it may come back.
     pub fn set_budgets(&mut self, now: Micros, budgets: Vec<Budget>, voters: &[Id]) {
         self.core.set_voters(now, voters, &self.rules);
-        let mut before: FxHashMap<u64, Slot> =
-            std::mem::take(&mut self.slots).into_iter().map(|s| (s.key, s)).collect();
+        let accounts = std::mem::take(&mut self.accounts);
+        let mut before: FxHashMap<u64, Account> =
+            accounts.into_iter().map(|account| (account.key, account)).collect();
         for budget in budgets {
             let key = budget.own_key();
-            let fresh = match budget.limit {
-                Limit::Rate { .. } => Spends::Rate(Bucket::new(now)),
-                Limit::Open { .. } => Spends::Open(Open::default()),
-            };
-            let mut slot = before.remove(&key).unwrap_or_else(|| Slot {
-                budget: budget.clone(),
-                key,
-                spends: fresh.clone(),
-                asked: 0,
-                spent: 0,
-                refused: 0,
-                worth: 0,
-                weight: WEIGHT,
-                demand: 0.0,
-                metered: (now, 0),
-                ask_at: now,
-                waits_since: None,
-                held: Part::default(),
-            });
-            if std::mem::discriminant(&slot.spends) != std::mem::discriminant(&fresh) {
-                slot.spends = fresh;
-            }
-            if slot.budget != budget {
-                slot.budget = budget;
-                slot.ask_at = now;
-            }
-            self.slots.push(slot);
-        }
-        let open = |slot: &Slot| matches!(&slot.spends, Spends::Open(open) if open.used() > 0);
-        let mut gone: Vec<Slot> = before.into_values().filter(open).collect();
-        gone.sort_by_key(|slot| slot.key);
-        self.slots.extend(gone);
-        self.told.clear();
-        self.by_key = self.slots.iter().enumerate().map(|(n, slot)| (slot.key, n)).collect();
+            let account = before.remove(&key);
+            let mut account = account.unwrap_or_else(|| Account::new(now, key, budget.clone()));
+            account.redefine(now, budget);
+            self.accounts.push(account);
+        }
+        let mut removed: Vec<Account> = before.into_values().filter(Account::has_open).collect();
+        removed.sort_by_key(|account| account.key);
+        self.accounts.extend(removed);
+        self.changed_shares.clear();
+        self.by_key =
+            self.accounts.iter().enumerate().map(|(number, account)| (account.key, number)).collect();
         let by_key = &self.by_key;
         self.core.keep(|key| by_key.contains_key(&key));
-        (0..self.slots.len()).for_each(|n| self.fit(now, n));
+        self.update_all_shares(now);
     }
 
-    /// Whether this process may spend, claim and ask. One that may not gives nothing and takes nothing.
+    /// Whether this process must not spend, claim and ask. One that must not grants nothing and receives nothing.
     pub fn hold(&mut self, now: Micros, held: bool) {
-        self.held = held;
-        (0..self.slots.len()).for_each(|n| self.fit(now, n));
-        self.told.extend(0..self.slots.len());
+        self.suspended = held;
+        self.update_all_shares(now);
+        self.changed_shares.extend(0..self.accounts.len());
     }
 
-    /// Whether there is a budget with this key.
-    pub fn knows(&self, key: u64) -> bool {
-        self.by_key.contains_key(&key)
-    }
-
-    /// The shares that were told since this was last asked.
-    pub fn leases_told(&mut self) -> impl Iterator<Item = Lease<'_>> {
-        let told = std::mem::take(&mut self.told);
-        told.into_iter().filter_map(|n| {
-            let slot = self.slots.get(n)?;
-            let holder = self.core.holder(slot.key)?;
-            Some(Lease { budget: &slot.budget, share: slot.held, until: holder.until() })
-        })
-    }
-
-    /// Whether it is held.
+    /// See [`Node::hold`].
     pub fn is_held(&self) -> bool {
-        self.held
-    }
-
-    /// The grantor as far as it is known here.
-    pub fn grantor(&self, now: Micros) -> Option<Epoch> {
-        self.core.grantor(now)
+        self.suspended
     }
 
-    /// The term for which this process is the grantor.
-    pub fn in_office(&mut self, now: Micros) -> Option<Epoch> {
-        self.core.in_office(now, &self.rules)
+    /// Whether there is a budget with this key.
+    pub fn knows(&self, key: u64) -> bool {
+        self.by_key.contains_key(&key)
     }
 
-    /// Spends one of each of some budgets, by [`Budget::key`], or none of any. What is open is to be [`Node::done`]. A request's worth is in
-    /// parts of [`WEIGHT`].
+    /// Spends one of each of some budgets, by [`Budget::key`], or none of any; keys of no budget are passed over. What is let
+    /// in has to be [`Node::done`]. A request's worth is in parts of [`WEIGHT`].
     #[inline]
     pub fn spend(&mut self, now: Micros, keys: &[u64], worth: u32) -> Result<(), Over> {
-        let mut over = None;
+        let mut refusal: Option<Over> = None;
         for key in keys {
-            let Some(n) = self.by_key.get(key).copied() else { continue };
-            let slot = &mut self.slots[n];
-            slot.asked += 1;
-            slot.worth += u64::from(worth);
-            let after = match &mut slot.spends {
-                Spends::Rate(bucket) => bucket.wait(now).err(),
-                Spends::Open(open) => (!open.has_room(now)).then_some(MS * 1_000),
-            };
-            if let Some(after) = after {
-                slot.refused += 1;
-                slot.hurry(now);
-                let of_rate = matches!(slot.spends, Spends::Rate(_)) || over.is_some_and(|o: Over| o.of_rate);
-                let worse = over.is_none_or(|over: Over| after > over.after);
-                over = if worse { Some(Over { budget: n, after, of_rate }) } else { over };
+            let Some(number) = self.by_key.get(key).copied() else { continue };
+            let account = &mut self.accounts[number];
+            let Err(after) = account.check(now, worth) else { continue };
+            let of_rate = account.limiter.is_rate() || refusal.is_some_and(|over| over.of_rate);
+            if refusal.is_none_or(|over| after > over.after) {
+                refusal = Some(Over { budget: number, after, of_rate });
             }
         }
-        if let Some(over) = over {
+        if let Some(over) = refusal {
             return Err(over);
         }
         for key in keys {
-            let Some(n) = self.by_key.get(key).copied() else { continue };
-            let slot = &mut self.slots[n];
-            slot.spent += 1;
-            match &mut slot.spends {
-                Spends::Rate(bucket) => _ = bucket.spend(now),
-                Spends::Open(open) => _ = open.enter(now),
+            if let Some(number) = self.by_key.get(key) {
+                self.accounts[*number].spend(now);
             }
         }
         Ok(())
     }
 
-    /// What was let in has ended.
+    /// A request that was let in has ended.
     pub fn done(&mut self, keys: &[u64]) {
         for key in keys {
-            let slot = self.by_key.get(key).map(|n| &mut self.slots[*n]);
-            if let Some(Slot { spends: Spends::Open(open), .. }) = slot {
-                open.leave();
+            if let Some(number) = self.by_key.get(key) {
+                self.accounts[*number].release();
             }
         }
     }
 
-    /// The budgets, by number, with the requests refused so far.
-    pub fn refused(&self) -> impl Iterator<Item = (&Budget, u64)> {
-        self.slots.iter().map(|slot| (&slot.budget, slot.refused))
-    }
-
-    /// What an operator is told.
-    pub fn shown(&self, now: Micros) -> Vec<Shown> {
-        let show = |slot: &Slot| {
-            let unit = match slot.budget.limit {
-                Limit::Rate { .. } => 1e3,
-                Limit::Open { .. } => 1.0,
-            };
-            let whole = slot.budget.whole();
-            let floor = if self.core.is_voter() && !self.held { whole.floor.units } else { 0 };
-            let share = if self.held { 0 } else { self.core.share(now, slot.key, &self.rules).units };
-            Shown {
-                name: slot.budget.name.clone(),
-                member: slot.budget.member.clone(),
-                whole: whole.all.units as f64 / unit,
-                share: (share + floor) as f64 / unit,
-                left: self.core.holder(slot.key).map_or(0, |holder| holder.until().saturating_sub(now)),
-                demand: slot.demand,
-                spent: slot.spent,
-                refused: slot.refused,
-                given: self.core.given(now, slot.key).map(|(sum, n)| (sum as f64 / unit, n)),
-            }
-        };
-        self.slots.iter().map(show).collect()
-    }
-
     /// A process is thought to be lost.
     pub fn lost(&mut self, life: Life) {
         self.core.lost(life, &self.rules);
     }
 
-    /// Takes a message in.
+    /// Takes a message in, and adds what it is answered with.
     pub fn take(&mut self, now: Micros, from: Id, message: Message, out: &mut Vec<(Id, Message)>) {
-        if self.held && !matches!(message, Message::Vote { .. }) {
+        if self.suspended && !matches!(message, Message::Vote { .. }) {
             return;
         }
-        let elsewhere = matches!(message, Message::Elsewhere(Some(_)));
         let changed = self.core.take(now, from, message, &self.rules, out);
-        let Some(n) = changed.and_then(|key| self.by_key.get(&key).copied()) else {
-            if elsewhere {
-                self.ask_again(now);
+        let Some(number) = changed.and_then(|key| self.by_key.get(&key).copied()) else {
+            if matches!(message, Message::Elsewhere(Some(_))) {
+                self.ask_the_new_grantor(now);
             }
             return;
         };
-        if let Message::Recall(_) = message {
-            self.slots[n].ask_at = now;
-            return;
-        }
-        let before = self.slots[n].held;
-        self.slots[n].waits_since = None;
-        self.fit(now, n);
-        self.told.push(n);
-        // One who has less now says so, and others get it.
-        if !before.is_within(self.slots[n].held) {
-            self.slots[n].ask_at = now;
-        }
-    }
-
-    /// Those that asked one who was not the grantor ask the right one now.
-    fn ask_again(&mut self, now: Micros) {
-        for slot in self.slots.iter_mut().filter(|slot| slot.waits_since.is_some()) {
-            slot.ask_at = now;
-        }
-    }
-
-    fn fit(&mut self, now: Micros, n: usize) {
-        let Node { core, slots, rules, held, .. } = self;
-        let slot = &mut slots[n];
-        let (share, until) = match core.holder(slot.key) {
-            Some(holder) if !*held => (holder.share(now, rules), holder.until()),
-            _ => (Part::default(), now),
-        };
-        slot.held = share;
-        let votes = core.is_voter() && !*held;
-        match (&mut slot.spends, slot.budget.limit) {
-            (Spends::Rate(bucket), Limit::Rate { rate, burst, floor }) => {
-                let floor = if votes { floor } else { 0.0 };
-                bucket.set_floor(now, floor, burst * floor / rate);
-                bucket.set_lease(now, share.units as f64 / 1e3, share.burst as f64 / 1e3, until);
-            }
-            (Spends::Open(open), Limit::Open { floor, .. }) => {
-                open.set_floor(if votes { floor } else { 0 });
-                open.set_lease(share.units, until);
-            }
-            _ => {}
-        }
-    }
-
-    /// Looks what is due, and says it.
-    pub fn tick(&mut self, now: Micros, rng: &mut impl Rng, out: &mut Vec<(Id, Message)>) {
-        if self.held {
-            return;
-        }
-        self.claim(now, rng, out);
-        let mut asks = Vec::new();
-        for slot in &mut self.slots {
-            if slot.waits_since.is_some_and(|since| now >= since + ANSWER) {
-                // Nobody there, or it was lost on the way.
-                slot.waits_since = None;
-                slot.ask_at = now;
-                self.turn += 1;
-                if self.turn % 2 == 0 {
-                    self.core.forget_grantor();
-                }
-            }
-            if now < slot.ask_at {
-                continue;
-            }
-            slot.meter(now);
-            let Some(to) = asked_next(&self.core, self.turn, now) else { continue };
-            let in_use = slot.in_use();
-            let demand = slot.wanted();
-            let ask =
-                self.core.ask(now, slot.key, slot.budget.whole(), (demand, slot.weight), in_use, &self.rules);
-            let pause = if demand > 0 { ASK } else { ASK_IDLE };
-            slot.ask_at = now + rng.random_range(pause * 3 / 4..pause);
-            slot.waits_since = Some(now);
-            asks.push((to, ask));
-        }
-        for (to, ask) in asks {
-            self.say(now, to, ask, out);
-        }
-    }
-
-    /// Carries a message out, or takes it in where it is for this process itself.
-    fn say(&mut self, now: Micros, to: Id, message: Message, out: &mut Vec<(Id, Message)>) {
-        if to != self.core.id {
-            out.push((to, message));
+        if matches!(message, Message::Recall(_)) {
+            self.accounts[number].ask_at = now;
             return;
         }
-        let mut own = Vec::new();
-        self.take(now, to, message, &mut own);
-        for (to, message) in own {
-            self.say(now, to, message, out);
+        let before = self.accounts[number].share;
+        self.accounts[number].waiting_since = None;
+        self.update_share(now, number);
+        self.changed_shares.push(number);
+        // Once it has told the grantor that it holds less now, others can have the rest.
+        if !before.is_within(self.accounts[number].share) {
+            self.accounts[number].ask_at = now;
         }
     }
 
-    fn claim(&mut self, now: Micros, rng: &mut impl Rng, out: &mut Vec<(Id, Message)>) {
-        if !self.core.is_voter() || now < self.claim_at {
-            return;
-        }
-        let in_office = self.core.in_office(now, &self.rules);
-        let another = self.core.grantor(now).is_some_and(|epoch| epoch.by != self.core.id);
-        if in_office.is_none() && another {
-            // Its vote is given; it claims once that has ended, unless one that stands before it does.
-            let before = self.core.voters().iter().position(|id| *id == self.core.id).unwrap_or(0) as Micros;
-            self.claim_at = now + rng.random_range(0..PATIENCE / 2) + PATIENCE / 2 * before.min(6);
-            return;
-        }
-        let pause = if in_office.is_some() { CLAIM } else { PATIENCE };
-        self.claim_at = now + rng.random_range(pause / 2..pause);
-        if let Some(claim) = self.core.claim(now, self.wall_ms, &self.rules) {
-            let others = self.core.voters().iter().filter(|id| **id != self.core.id);
-            out.extend(others.map(|id| (*id, claim)));
-        }
-    }
-
-    /// Tells of a term that began or ended here, once.
-    pub fn office_changed(&mut self, now: Micros) -> Option<Option<Epoch>> {
-        let held = self.core.in_office(now, &self.rules);
-        (held != self.was_in_office).then(|| {
-            self.was_in_office = held;
-            held
-        })
-    }
-
-    /// Gives all shares back. What is still open is told, and is counted on until it may have ended.
+    /// Gives all shares back. What is still in progress is told, and counts until it may have ended.
     pub fn leave(&mut self, now: Micros, out: &mut Vec<(Id, Message)>) {
-        let Some(to) = asked_next(&self.core, self.turn, now).filter(|to| *to != self.core.id) else {
-            return;
-        };
-        for n in 0..self.slots.len() {
-            let (key, whole, in_use) =
-                (self.slots[n].key, self.slots[n].budget.whole(), self.slots[n].in_use());
-            let ask = self.core.leave(now, key, whole, in_use, &self.rules);
+        let grantor = process_to_ask(&self.core, self.next_voter, now);
+        let Some(to) = grantor.filter(|to| *to != self.core.id) else { return };
+        for number in 0..self.accounts.len() {
+            let Account { key, budget, .. } = &self.accounts[number];
+            let in_use = self.accounts[number].in_use();
+            let ask = self.core.leave(now, *key, budget.whole(), in_use, &self.rules);
             out.push((to, ask));
-            self.fit(now, n);
+            self.update_share(now, number);
         }
-        self.told.extend(0..self.slots.len());
-        self.held = true;
+        self.changed_shares.extend(0..self.accounts.len());
+        self.suspended = true;
     }
-}
 
-/// The grantor, or the voter that is tried next.
-fn asked_next(core: &Core, turn: usize, now: Micros) -> Option<Id> {
-    let voters = core.voters();
-    core.grantor(now).map(|epoch| epoch.by).or_else(|| voters.get(turn % voters.len().max(1)).copied())
-}
-
-impl Slot {
-    /// Counts what was asked for since it was last looked at.
-    fn meter(&mut self, now: Micros) {
-        let (at, asked) = self.metered;
-        let span = now.saturating_sub(at) as f64;
-        if span < 50_000.0 {
-            return;
-        }
-        if let Some(mean) = self.worth.checked_div(self.asked - asked) {
-            self.weight = (mean as u32).clamp(1, 1 << 20);
-        }
-        self.worth = 0;
-        let rate = (self.asked - asked) as f64 * 1e6 / span;
-        let chance = DEVIATIONS * (rate.max(self.demand) * 1e6 / span).sqrt();
-        if (rate - self.demand).abs() > chance {
-            self.demand = rate;
-        } else {
-            self.demand += (rate - self.demand) * (1.0 - (-span / MEAN).exp());
-        }
-        // None came, and not even one was to be awaited.
-        if rate == 0.0 && self.demand * span < 1e6 {
-            self.demand = 0.0;
+    /// Asks again at once where an answer is awaited of a process that is not the grantor.
+    fn ask_the_new_grantor(&mut self, now: Micros) {
+        for account in self.accounts.iter_mut().filter(|account| account.waiting_since.is_some()) {
+            account.ask_at = now;
         }
-        self.metered = (now, self.asked);
     }
 
-    /// Demand that rose since it was last told is told at once.
-    fn hurry(&mut self, now: Micros) {
-        let (at, asked) = self.metered;
-        let span = now.saturating_sub(at);
-        let rate = (self.asked - asked) as f64 * 1e6 / span as f64;
-        if span > 50 * MS && self.waits_since.is_none() && rate > 1.5 * self.demand + 2.0 {
-            self.ask_at = self.ask_at.min(now);
-        }
+    /// Whether this process may spend the floor of each budget, which voters have without a lease.
+    fn has_floor(&self) -> bool {
+        self.core.is_voter() && !self.suspended
     }
 
-    /// What it is asked for, in units.
-    fn wanted(&self) -> Units {
-        match (&self.spends, self.budget.limit) {
-            (Spends::Rate(_), _) => (self.demand * 1e3) as Units,
-            // Those that could not be opened count as the demand shows, at the time that one takes.
-            (Spends::Open(open), _) => {
-                let refused = if self.demand > 0.0 && !open.has_room(0) { 1 + open.used() / 2 } else { 0 };
-                open.used() + refused
-            }
+    fn update_all_shares(&mut self, now: Micros) {
+        for number in 0..self.accounts.len() {
+            self.update_share(now, number);
         }
     }
 
-    /// What is in progress beyond the floor, and so may be beyond the share.
-    fn in_use(&self) -> Part {
-        match &self.spends {
-            Spends::Rate(_) => Part::default(),
-            Spends::Open(open) => Part { units: open.beyond_floor(), burst: 0 },
-        }
+    /// Sets what may be spent of a budget to what is held of it.
+    fn update_share(&mut self, now: Micros, number: usize) {
+        let has_floor = self.has_floor();
+        let account = &mut self.accounts[number];
+        let share = match self.core.holder(account.key) {
+            Some(holder) if !self.suspended => {
+                Share { part: holder.share(now, &self.rules), until: holder.until() }
+            }
+            _ => Share { part: Part::default(), until: now },
+        };
+        account.set_share(now, share, has_floor);
     }
 }
