Play the membership of fleets of any size in simulated time: dewrun-lab membership

Need: what 100 to 1,500 processes know of each other, and what it costs, could not be measured; the tests play 12 at most.

dewrun_fleet::simulate runs the real `Members` of n processes with clocks of their own over a network with loss and cuts, and plays nine cases: all start at once, one restarts, a tenth, a rack or a zone is lost, the regions are cut off for 300 s and for an hour, 240 restarts, a wall clock that is off. An outcome is typed figures, and rows beside their bounds; `dewrun-lab membership` prints them, writes JSON and fails if a bound is broken. All of the interface of `Members` is touched in simulate/peer.rs. A message that does not fit a packet is dropped, as a process does. Processes tick every 50 ms there, and every 10 ms in truth.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,7 +4,7 @@
 //! ask at Poisson times, and any number of instances that each decide alone. Whatever implements [`Decider`] stands before
 //! it: the module itself, or one of the [`rivals`], which are models of how other balancers choose. [`matrix`] plays kinds
 //! of trouble against sizes, loads and effects, and [`report`] writes the outcome as text, JSON or a heat map. [`budgets`]
-//! compares ways to divide a whole among processes.
+//! compares ways to divide a whole among processes. [`membership`] plays what the processes of a fleet know of each other.
 //!
 //! Nothing here reads a clock or a socket. All randomness comes from one seed, so one seed gives one outcome everywhere.
 
@@ -12,6 +12,7 @@
 
 pub mod budgets;
 pub mod matrix;
+pub mod membership;
 pub mod replica;
 pub mod report;
 pub mod rivals;
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -1,11 +1,13 @@
 //! `dewrun-lab`: experiments in simulated time.
 
-use clap::{Parser, Subcommand, ValueEnum};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use dewrun_emulator::budgets::{cost, ways};
 use dewrun_emulator::matrix::{judge, Bad, Cell, TROUBLES};
+use dewrun_emulator::membership;
 use dewrun_emulator::replica::{catch_up, grow};
 use dewrun_emulator::report::{json, svg, text, Row};
 use dewrun_emulator::rivals::Rival;
+use dewrun_fleet::simulate::{Case, Settings};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::thread;
@@ -71,6 +73,51 @@
         #[arg(long)]
         scale: bool,
     },
+    /// Play what the processes of a fleet know of each other: starts, restarts, losses and partitions
+    Membership(MembershipArgs),
+}
+
+#[derive(Args)]
+struct MembershipArgs {
+    /// How many processes the fleet has
+    #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u32).range(2..=100_000))]
+    processes: u32,
+    /// The seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The part of the packets that is lost
+    #[arg(long, default_value_t = 0.0, value_parser = part)]
+    loss: f64,
+    /// Only these cases, by name, with commas between them
+    #[arg(long, value_delimiter = ',')]
+    case: Vec<Case>,
+    /// Write all rows as JSON here
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+/// A number from 0 to 1.
+fn part(text: &str) -> Result<f64, String> {
+    let number: f64 = text.parse().map_err(|why| format!("{why}"))?;
+    (0.0..=1.0).contains(&number).then_some(number).ok_or_else(|| "not from 0 to 1".to_string())
+}
+
+/// Fails if a bound is broken.
+fn membership(args: &MembershipArgs) -> ExitCode {
+    let MembershipArgs { processes, seed, loss, case, json } = args;
+    let settings = Settings { processes: *processes as usize, seed: *seed, loss: *loss };
+    let cases = if case.is_empty() { &Case::ALL[..] } else { case };
+    let reports = membership::play_all(cases, settings, |case, took| {
+        eprintln!("{case}: {:.1} s of real time", took.as_secs_f64());
+    });
+    print!("{}", membership::text(&reports));
+    if let Some(file) = json {
+        if let Err(why) = std::fs::write(file, membership::json(&reports)) {
+            eprintln!("dewrun-lab: {}: {why}", file.display());
+            return ExitCode::from(2);
+        }
+    }
+    ExitCode::from(u8::from(!reports.iter().all(membership::Report::passed)))
 }
 
 fn replica(scale: bool) {
@@ -164,6 +211,7 @@
             budgets(seed, scale);
             return ExitCode::SUCCESS;
         }
+        Command::Membership(args) => return membership(&args),
     };
     let cells = cells(trouble.as_deref(), members, instances.clamp(1, 1_000));
     if cells.is_empty() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,10 +2,12 @@
 //! chance passed in.
 //!
 //! [`packet`] frames and proves packets, [`members`] knows who is up (SWIM, by the library `foca`). What is said about
-//! budgets is [`dewrun_budgets`]' matter and is only carried here.
+//! budgets is [`dewrun_budgets`]' matter and is only carried here. [`simulate`] plays whole fleets of [`members`] in simulated
+//! time.
 
 pub mod members;
 pub mod packet;
+pub mod simulate;
 
 use std::net::SocketAddr;
 
--- /dev/null
+++ b/crates/fleet/src/simulate/peer.rs
@@ -0,0 +1,73 @@
+//! One simulated process in one of its lives. The only module of the simulation that touches the interface of [`Members`].
+
+use crate::members::{Member, Members, Micros, Packets};
+use crate::packet;
+use std::net::SocketAddr;
+
+use super::MILLISECOND;
+
+/// How often a process looks for what is due.
+const TICK_EVERY: Micros = 50 * MILLISECOND;
+
+/// Bytes that a packet adds to a message of the members: version, hash, the sender's address (IPv4), the kind of the body
+/// and its length.
+const SEALED_HEAD: usize = 4 + 16 + 7 + 1 + 2;
+/// The largest message that fits a packet. What is larger is never sent.
+pub const LARGEST_MESSAGE: usize = packet::MOST - SEALED_HEAD;
+
+/// What one process tells another of the members.
+pub(super) type Message = Vec<u8>;
+
+/// The bytes of a message as encoded, without any heads.
+pub(super) fn size(message: &Message) -> usize {
+    message.len()
+}
+
+/// A running process.
+pub(super) struct Peer {
+    members: Members,
+    clock: Clock,
+}
+
+/// The monotonic clock of one process, and its ticks.
+#[derive(Clone, Copy)]
+pub(super) struct Clock {
+    /// How far the clock is ahead of simulated time.
+    pub(super) ahead: Micros,
+    /// When the process ticks, as the rest of simulated time divided by the time between two ticks.
+    pub(super) phase: Micros,
+}
+
+impl Clock {
+    /// The first tick later than `now`, in simulated time.
+    fn tick_after(self, now: Micros) -> Micros {
+        let phase = self.phase % TICK_EVERY;
+        let ticks_before = (now + TICK_EVERY - phase) / TICK_EVERY;
+        ticks_before * TICK_EVERY + phase
+    }
+}
+
+impl Peer {
+    pub(super) fn start(now: Micros, me: Member, seeds: &[SocketAddr], clock: Clock, seed: u64) -> Peer {
+        Peer { members: Members::new(now + clock.ahead, me, seeds, seed), clock }
+    }
+
+    /// Takes a message that another process sent.
+    pub(super) fn take(&mut self, now: Micros, _from: SocketAddr, message: Message) -> Packets {
+        self.members.take(now + self.clock.ahead, &message).0
+    }
+
+    pub(super) fn tick(&mut self, now: Micros) -> Packets {
+        self.members.tick(now + self.clock.ahead).0
+    }
+
+    /// When this process ticks next.
+    pub(super) fn next_tick(&self, now: Micros) -> Micros {
+        self.clock.tick_after(now)
+    }
+
+    /// The members that this process takes for up, itself included.
+    pub(super) fn view(&self) -> Vec<&Member> {
+        self.members.up()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/simulate/topology.rs
@@ -0,0 +1,86 @@
+//! Where the processes of a simulated fleet stand: addresses, names, sites and racks, all computed from a process's index.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+const ZONES: [(&str, Region); 5] = [
+    ("east-1", Region::East),
+    ("east-2", Region::East),
+    ("east-3", Region::East),
+    ("west-1", Region::West),
+    ("west-2", Region::West),
+];
+const RACKS: usize = 15;
+/// How many processes are the ones that all others ask first. One stands in each zone.
+const SEEDS: usize = ZONES.len();
+
+const FIRST_ADDRESS: u32 = u32::from_be_bytes([10, 0, 0, 1]);
+const PORT: u16 = 7_100;
+
+/// A group of zones that can be cut off from the other one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Region {
+    /// The larger one, of three zones.
+    East,
+    /// The smaller one, of two zones.
+    West,
+}
+
+/// Both regions.
+pub const REGIONS: [Region; 2] = [Region::East, Region::West];
+
+/// The places of a fleet of some size.
+#[derive(Clone, Copy, Debug)]
+pub struct Topology {
+    /// How many processes there are.
+    pub processes: usize,
+}
+
+impl Topology {
+    /// The address of a process.
+    pub fn address(self, process: usize) -> SocketAddr {
+        let ip = Ipv4Addr::from(FIRST_ADDRESS + process as u32);
+        SocketAddr::new(IpAddr::V4(ip), PORT)
+    }
+
+    /// Which process has this address.
+    pub fn process_at(self, address: SocketAddr) -> Option<usize> {
+        let IpAddr::V4(ip) = address.ip() else { return None };
+        let process = u32::from(ip).checked_sub(FIRST_ADDRESS)? as usize;
+        (process < self.processes && address.port() == PORT).then_some(process)
+    }
+
+    /// The name of a process.
+    pub fn name(self, process: usize) -> String {
+        format!("proxy-{process:04}")
+    }
+
+    /// The zone of a process, by number.
+    pub fn zone(self, process: usize) -> usize {
+        process % ZONES.len()
+    }
+
+    /// The site that a process tells the others.
+    pub fn site(self, process: usize) -> &'static str {
+        ZONES[self.zone(process)].0
+    }
+
+    /// The region of a process.
+    pub fn region(self, process: usize) -> Region {
+        ZONES[self.zone(process)].1
+    }
+
+    /// The rack of a process, by number. All of a rack is in one zone.
+    pub fn rack(self, process: usize) -> usize {
+        process % RACKS
+    }
+
+    /// How many processes are asked first by all others.
+    pub fn seed_count(self) -> usize {
+        SEEDS.min(self.processes)
+    }
+
+    /// The addresses of the processes that are asked first.
+    pub fn seeds(self) -> Vec<SocketAddr> {
+        (0..self.seed_count()).map(|process| self.address(process)).collect()
+    }
+}
