Take the control-plane agent out of the program into crates/agent

The processes of a planned fleet of 1,500 cannot all be real ones on one machine: agents without listeners, pools and clients are to run beside real processes, by the same code. It stood in the program (src/fleet) and knew its driver.

crates/agent (dewrun-agent) has the sockets, clock, status and orders of a process; the program's pools stand behind the trait dewrun_agent::Pool, which the driver implements (src/net/driver/pool.rs). The file of 548 lines is now one for the start, one for packets, one each for state, budgets of the file and spending; questions over TCP are divided into form, server and client. Fleet is Agent, a held budget a Reservation, a copy a Replica. Log lines, keys, JSON and what is sent are as before, and no test is changed. Nothing of it is started without [fleet], as before.

--- a/src/fleet/clock.rs
+++ b/crates/agent/src/clock.rs
@@ -19,7 +19,7 @@
 }
 
 /// A wall-clock time for people, in UTC.
-pub fn told(unix_ms: u64) -> String {
+pub fn date_text(unix_ms: u64) -> String {
     // No later than the library can tell.
     let since = Duration::from_millis(unix_ms.min(LAST_MS));
     httpdate::fmt_http_date(UNIX_EPOCH + since)
--- /dev/null
+++ b/crates/agent/src/exchange.rs
@@ -0,0 +1,156 @@
+//! Packets: how they come in and go out, and what is due when none comes.
+
+use crate::replica::ReplicaPackets;
+use crate::state::{State, SECOND};
+use crate::{clock, Agent};
+use dewrun_budgets::core::Message;
+use dewrun_budgets::Id;
+use dewrun_fleet::id_of;
+use dewrun_fleet::members::Packets as MemberPackets;
+use dewrun_fleet::packet::{Body, Packet, MOST};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{interval, MissedTickBehavior};
+
+/// How often it is looked what is due.
+const TICK: Duration = Duration::from_millis(10);
+/// Packets that are read before callers get their turn again.
+const AT_ONCE: usize = 64;
+/// Room for a packet that is larger than any that is taken, so that it shows.
+const RECEIVE_BUFFER: usize = 2 * MOST;
+
+/// What is to be sent.
+#[derive(Default)]
+struct Outgoing {
+    budgets: Vec<(Id, Message)>,
+    members: MemberPackets,
+    replica: ReplicaPackets,
+}
+
+impl Agent {
+    /// Exchanges packets with the others for as long as the process lives.
+    pub async fn run(self: Rc<Agent>) {
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buffer = vec![0; RECEIVE_BUFFER];
+        loop {
+            tokio::select! {
+                got = self.socket.recv_from(&mut buffer) => {
+                    let mut next = got.ok().map(|(n, _)| n);
+                    for _ in 0..AT_ONCE {
+                        let Some(n) = next else { break };
+                        self.take(&buffer[..n]);
+                        next = self.socket.try_recv_from(&mut buffer).ok().map(|(n, _)| n);
+                    }
+                }
+                _ = tick.tick() => self.tick(),
+            }
+            self.apply_holds();
+        }
+    }
+
+    /// Gives back what it holds, and says that it leaves.
+    pub fn leave(&self) {
+        let state = &mut *self.state.borrow_mut();
+        let now = clock::now();
+        let mut out = Outgoing::default();
+        state.node.leave(now, &mut out.budgets);
+        state.trace_leases(now);
+        out.members = state.members.leave(now);
+        state.replica.write_snapshot(now, clock::wall_ms(), true);
+        self.send(state, out);
+    }
+
+    /// Takes a packet in.
+    fn take(&self, bytes: &[u8]) {
+        let state = &mut *self.state.borrow_mut();
+        let now = clock::now();
+        let Packet { from, body } = match self.seal.open(bytes) {
+            Ok(packet) => packet,
+            Err(why) => return state.rejected.count(why),
+        };
+        if from == state.config.address {
+            // Its own, that came back, or a second process that was given this address.
+            return;
+        }
+        state.learn_address(from);
+        let mut out = Outgoing::default();
+        match body {
+            Body::Replica(message) => {
+                let State { replica, rng, .. } = state;
+                replica.take(now, from, message, rng, &mut out.replica);
+            }
+            Body::Members(bytes) => {
+                let (answers, news) = state.members.take(now, &bytes);
+                out.members = answers;
+                state.apply_news(news);
+            }
+            Body::Budgets(messages) => {
+                for message in messages {
+                    state.node.take(now, id_of(from), message, &mut out.budgets);
+                }
+            }
+        }
+        state.trace_leases(now);
+        self.send(state, out);
+    }
+
+    /// Does what is due.
+    fn tick(&self) {
+        let state = &mut *self.state.borrow_mut();
+        let now = clock::now();
+        if now.saturating_sub(state.ticked_at) > SECOND {
+            state.woke_up(now);
+        }
+        state.ticked_at = now;
+        let mut out = Outgoing::default();
+        let State { replica, rng, .. } = state;
+        replica.tick(now, clock::wall_ms(), rng, &mut out.replica);
+        state.node.tick(now, &mut state.rng, &mut out.budgets);
+        let (packets, news) = state.members.tick(now);
+        out.members = packets;
+        state.apply_news(news);
+        state.log_changes(now);
+        state.trace_leases(now);
+        self.send(state, out);
+    }
+
+    /// What can't be sent is as good as lost on the way.
+    fn send(&self, state: &State, out: Outgoing) {
+        let me = state.config.address;
+        let mut by_process: BTreeMap<Id, Vec<Message>> = BTreeMap::new();
+        for (to, message) in out.budgets {
+            by_process.entry(to).or_default().push(message);
+        }
+        for (to, messages) in by_process {
+            let Some(address) = state.addresses.get(&to) else { continue };
+            for bytes in self.seal.pack(me, &messages) {
+                self.send_bytes(state, *address, &bytes);
+            }
+        }
+        for (to, bytes) in out.members {
+            self.send_body(state, to, Body::Members(bytes));
+        }
+        self.send_replica(state, out.replica);
+    }
+
+    /// Sends messages of the replicated state.
+    pub(crate) fn send_replica(&self, state: &State, out: ReplicaPackets) {
+        for (to, message) in out {
+            self.send_body(state, to, Body::Replica(message));
+        }
+    }
+
+    fn send_body(&self, state: &State, to: SocketAddr, body: Body) {
+        let packet = Packet { from: state.config.address, body };
+        if let Some(bytes) = self.seal.seal(&packet) {
+            self.send_bytes(state, to, &bytes);
+        }
+    }
+
+    fn send_bytes(&self, state: &State, to: SocketAddr, bytes: &[u8]) {
+        let _ = self.socket.try_send_to(bytes, state.route(to));
+    }
+}
--- /dev/null
+++ b/crates/agent/src/replica.rs
@@ -0,0 +1,271 @@
+//! The replicated state as this process acts on it: orders of operators and news of members, by pool. Which of two entries
+//! counts is `dewrun-replica`'s to decide, and what a held member means is each pool's.
+
+use crate::pool::{Holds, Pool};
+use crate::snapshot_file::{SnapshotFile, SNAPSHOT_SOON};
+use dewrun_budgets::Micros;
+use dewrun_replica::gossip::{Gossip, Message};
+use dewrun_replica::kinds::{self, Given, State as MemberState, Wish};
+use dewrun_replica::store::{Bounds, Key, Piece, Store};
+use dewrun_replica::{Origin, GRAVE};
+use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::{Rc, Weak};
+use tracing::{info, warn};
+
+const MS: Micros = 1_000;
+/// How often ended entries are forgotten.
+const FORGET: Micros = 5_000 * MS;
+/// From one snapshot to the next where no order has changed.
+const SNAPSHOT_LATER: Micros = 5_000 * MS;
+/// How long one that slept, or was stopped, asks before it sends on.
+const AWAKE: Micros = 250 * MS;
+
+/// Messages of the replicated state that are to be sent, each with who gets it.
+pub(crate) type ReplicaPackets = Vec<(SocketAddr, Message)>;
+
+/// What the replicated state starts with.
+pub(crate) struct ReplicaStart<'a> {
+    pub now: Micros,
+    pub now_ms: u64,
+    /// This life of the process.
+    pub life: u64,
+    pub me: SocketAddr,
+    /// Where snapshots are kept, if they are.
+    pub folder: Option<PathBuf>,
+    /// The fleet's name.
+    pub fleet: &'a str,
+    /// This process's name.
+    pub name: &'a str,
+}
+
+/// What the pools are to be told.
+pub(crate) struct HoldChange {
+    pub pools: Vec<Weak<dyn Pool>>,
+    pub holds: Holds,
+}
+
+/// See the module's text.
+pub(crate) struct Replica {
+    pub store: Store,
+    pub gossip: Gossip<SocketAddr>,
+    /// The other processes that are up.
+    pub peers: Vec<SocketAddr>,
+    followers: BTreeMap<String, Vec<Weak<dyn Pool>>>,
+    holds: BTreeMap<String, Holds>,
+    changed: BTreeSet<String>,
+    /// Until when requests wait for news that was missed.
+    away_until: Micros,
+    forget_at: Micros,
+    /// When another process was last heard.
+    heard: Micros,
+    /// Targets whose orders differ, as was logged.
+    differ: BTreeSet<String>,
+    snapshot: Option<SnapshotFile>,
+}
+
+impl Replica {
+    /// One that starts, from its snapshot if there is a sound one.
+    pub fn start(start: ReplicaStart) -> Replica {
+        let ReplicaStart { now, now_ms, life, me, folder, fleet, name } = start;
+        let mut store = Store::new(Origin(life), Bounds::USUAL);
+        let snapshot = folder.map(|folder| SnapshotFile::new(now, &folder, fleet, name));
+        if let Some(snapshot) = &snapshot {
+            snapshot.read(&mut store, now, now_ms);
+        }
+        Replica {
+            store,
+            gossip: Gossip::new(now, me),
+            peers: Vec::new(),
+            followers: BTreeMap::new(),
+            holds: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            away_until: now,
+            forget_at: now + FORGET,
+            heard: now,
+            differ: BTreeSet::new(),
+            snapshot,
+        }
+    }
+
+    /// A pool asks to be told.
+    pub fn follow(&mut self, now: Micros, name: &str, pool: Weak<dyn Pool>) {
+        let pools = self.followers.entry(name.into()).or_default();
+        pools.retain(|pool| pool.strong_count() > 0);
+        pools.push(pool);
+        let keys: BTreeSet<Key> = [kinds::ORDER, kinds::NEWS]
+            .iter()
+            .flat_map(|kind| self.store.of_kind(*kind))
+            .map(|(_, key, _)| key.clone())
+            .collect();
+        keys.iter().for_each(|key| self.update_holds(now, key));
+        self.changed.insert(name.into());
+    }
+
+    /// This process did nothing for a while: what it holds may be old.
+    pub fn was_away(&mut self, now: Micros) {
+        self.away_until = now + AWAKE;
+        self.gossip.was_away(now);
+    }
+
+    /// Whether nothing is to be sent yet, as what was missed is being asked for.
+    pub fn is_catching_up(&self, now: Micros) -> bool {
+        now < self.away_until && !self.gossip.is_caught_up() && !self.peers.is_empty()
+    }
+
+    /// Takes a message in.
+    pub fn take(
+        &mut self,
+        now: Micros,
+        from: SocketAddr,
+        message: Message,
+        rng: &mut impl Rng,
+        out: &mut ReplicaPackets,
+    ) {
+        if now.saturating_sub(self.heard) >= GRAVE {
+            warn!("fleet: nobody was heard for a day: what is held is replaced by what the others hold");
+            self.store.replace_whole(self.heard);
+            self.gossip.was_away(now);
+            self.changed.extend(self.holds.keys().cloned());
+            self.holds.clear();
+        }
+        self.heard = now;
+        let Replica { store, gossip, peers, .. } = self;
+        for (_, key) in gossip.take(now, store, (from, peers), message, rng, out) {
+            self.entered(now, &key);
+        }
+    }
+
+    /// Tells the others an entry that was written here.
+    pub fn tell(&mut self, now: Micros, piece: Piece, rng: &mut impl Rng, out: &mut ReplicaPackets) {
+        self.gossip.tell(now, piece, &self.peers, rng, out);
+    }
+
+    /// An entry has come, or was written here.
+    pub fn entered(&mut self, now: Micros, key: &Key) {
+        self.update_holds(now, key);
+        let is_order = key.kind == kinds::ORDER;
+        if is_order {
+            self.log_orders(&key.name);
+        }
+        self.snapshot_due(now, if is_order { SNAPSHOT_SOON } else { SNAPSHOT_LATER });
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Micros, now_ms: u64, rng: &mut impl Rng, out: &mut ReplicaPackets) {
+        self.gossip.tick(now, &self.store, &self.peers, rng, out);
+        if now >= self.forget_at {
+            self.forget_at = now + FORGET;
+            self.forget_ended(now);
+        }
+        self.write_snapshot(now, now_ms, false);
+    }
+
+    fn forget_ended(&mut self, now: Micros) {
+        kinds::forget_ended(&mut self.store, now);
+        // The word of others counts for a while only.
+        let held = self.holds.iter().flat_map(|(pool, holds)| {
+            let members = holds.by_news.keys();
+            members.map(move |member| Key { kind: kinds::NEWS, name: kinds::target(pool, member) })
+        });
+        let held: Vec<Key> = held.collect();
+        held.iter().for_each(|key| self.update_holds(now, key));
+        let is_old = self.snapshot.as_ref().is_some_and(|snapshot| snapshot.is_old(now));
+        if is_old && !self.store.is_empty() {
+            self.snapshot_due(now, SNAPSHOT_SOON);
+        }
+    }
+
+    /// Looks again what holds a member.
+    fn update_holds(&mut self, now: Micros, key: &Key) {
+        let target = &key.name;
+        if ![kinds::ORDER, kinds::NEWS].contains(&key.kind) {
+            return;
+        }
+        let orders = kinds::orders_of(&self.store, target);
+        let drained = orders.first().is_some_and(|given| given.order.wish == Wish::Drain);
+        let news = kinds::news_of(&self.store, now, target).filter(|news| news.state > MemberState::Ready);
+        for pool in self.followers.keys() {
+            let Some(member) = kinds::member_of(target, pool) else { continue };
+            let holds = self.holds.entry(pool.clone()).or_default();
+            let ordered_until = drained.then_some(f64::INFINITY);
+            let news_until = news.map(|news| news.started_ms as f64);
+            let mut changed = false;
+            for (held, until) in [(&mut holds.ordered, ordered_until), (&mut holds.by_news, news_until)] {
+                let before = match until {
+                    Some(until) => held.insert(member.into(), until),
+                    None => held.remove(member),
+                };
+                changed |= before != until;
+            }
+            if changed {
+                self.changed.insert(pool.clone());
+            }
+        }
+    }
+
+    /// Logs which order of a target holds, where two were given without knowledge of each other.
+    fn log_orders(&mut self, target: &str) {
+        let orders = kinds::orders_of(&self.store, target);
+        let text = |given: &Given| format!("{} by {}", wish_text(given.order.wish), given.order.by);
+        match &orders[..] {
+            [] => {}
+            [one] => {
+                self.differ.remove(target);
+                info!("fleet: {target}: {} holds", text(one));
+            }
+            [one, others @ ..] => {
+                let others: Vec<String> = others.iter().map(text).collect();
+                if self.differ.insert(target.into()) {
+                    warn!(
+                        "fleet: orders of {target} differ: {} and {} were given without knowledge of each other; the more \
+                         careful holds until another is given",
+                        text(one),
+                        others.join(", ")
+                    );
+                }
+            }
+        }
+    }
+
+    /// What has changed since this was last asked, by the pools that follow.
+    pub fn hold_changes(&mut self) -> Vec<HoldChange> {
+        let changed = std::mem::take(&mut self.changed);
+        let of = |pool: &String| HoldChange {
+            pools: self.followers.get(pool).cloned().unwrap_or_default(),
+            holds: self.holds.get(pool).cloned().unwrap_or_default(),
+        };
+        changed.iter().map(of).collect()
+    }
+
+    /// The pools that follow, by name, each the one in force.
+    pub fn pools(&self) -> Vec<(String, Rc<dyn Pool>)> {
+        let live = |(name, pools): (&String, &Vec<Weak<dyn Pool>>)| {
+            Some((name.clone(), pools.iter().rev().find_map(Weak::upgrade)?))
+        };
+        self.followers.iter().filter_map(live).collect()
+    }
+
+    fn snapshot_due(&mut self, now: Micros, within: Micros) {
+        if let Some(snapshot) = &mut self.snapshot {
+            snapshot.due(now, within);
+        }
+    }
+
+    /// Writes a snapshot if one is due.
+    pub fn write_snapshot(&mut self, now: Micros, now_ms: u64, at_end: bool) {
+        if let Some(snapshot) = &mut self.snapshot {
+            snapshot.write(&self.store, now, now_ms, at_end);
+        }
+    }
+}
+
+/// For people.
+pub(crate) fn wish_text(wish: Wish) -> &'static str {
+    match wish {
+        Wish::Drain => "drain",
+        Wish::Return => "return",
+    }
+}
--- a/src/fleet/status.rs
+++ b/crates/agent/src/status.rs
@@ -1,6 +1,6 @@
 //! What an operator sees of a fleet: asked of one process over TCP, a line of JSON back.
 
-use super::{clock, Fleet};
+use crate::{clock, Agent};
 use dewrun_fleet::members::Standing;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -80,7 +80,7 @@
     pub holders: Option<usize>,
 }
 
-impl Fleet {
+impl Agent {
     /// What it knows.
     pub fn status(&self) -> Status {
         let state = &mut *self.state.borrow_mut();
@@ -119,7 +119,7 @@
             }),
             members: members.collect(),
             budgets: budgets.collect(),
-            rejected: state.rejected.iter().sum(),
+            rejected: state.rejected.sum(),
         }
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,8 +1,9 @@
 //! The command line. Without arguments this is the platform's program, which reads none of this.
 
-use crate::fleet::{read_secret, status, talk};
 use crate::net::installation;
 use clap::{Args, Parser, Subcommand};
+use dewrun_agent::protocol::{Order, ReplicaStatus};
+use dewrun_agent::{client, read_secret, status};
 use dewrun_config::{read_members, Installation, Membership};
 use dewrun_replica::kinds::Wish;
 use serde::Serialize;
@@ -102,16 +103,16 @@
         (asked, code)
     };
     match command {
-        FleetCommand::Status { at, json } => told(shown(talk::ask(at, "status"), json, status::table)),
-        FleetCommand::Orders { at, json } => told(shown(talk::ask(at, "copy"), json, talk::table)),
+        FleetCommand::Status { at, json } => told(shown(client::ask(at, "status"), json, status::table)),
+        FleetCommand::Orders { at, json } => told(shown(client::ask(at, "copy"), json, client::orders_table)),
         FleetCommand::Drain(args) => told(order(args, Wish::Drain)),
         FleetCommand::Return(args) => told(order(args, Wish::Return)),
         FleetCommand::Diff { one, other } => {
-            let both = talk::ask::<talk::Held>(one, "copy")
-                .and_then(|one| Ok((one, talk::ask::<talk::Held>(other, "copy")?)));
+            let both = client::ask::<ReplicaStatus>(one, "copy")
+                .and_then(|one| Ok((one, client::ask::<ReplicaStatus>(other, "copy")?)));
             match both {
                 Err(why) => (Err(why), 2),
-                Ok((one, other)) => match talk::differences(&one, &other) {
+                Ok((one, other)) => match client::differences(&one, &other) {
                     lines if lines.is_empty() => {
                         (Ok(format!("{} and {} hold the same", one.name, other.name)), 0)
                     }
@@ -135,8 +136,8 @@
 
 fn order(args: OrderArgs, wish: Wish) -> Result<String, String> {
     let secret = args.secret_file.as_deref().map(read_secret).transpose()?.unwrap_or_default();
-    let order = talk::Order { target: args.target, wish, by: args.by };
-    talk::give(args.at, &secret, &order)?;
+    let order = Order { target: args.target, wish, by: args.by };
+    client::give(args.at, &secret, &order)?;
     Ok(format!("{} is at {}, which tells the others", order.target, args.at))
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,6 @@
 #![forbid(unsafe_code)]
 
 mod cli;
-mod fleet;
 mod net {
     pub mod attempts;
     pub mod bodies;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,6 +2,7 @@
 
 use super::io::{Io, Wire};
 use bytes::Bytes;
+use dewrun_agent::pool::HeldMembers;
 use dewrun_discovery::{Action, Event, Mode, ObjectStream, Piece, Watch};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{header::HOST, Request, StatusCode};
@@ -107,12 +108,9 @@
     places: FxHashMap<BackendId, Place>,
     /// What the list itself says, where others may say otherwise; see [`Directory::hold`].
     own: Option<FxHashMap<BackendId, BackendInfo>>,
-    held: Held,
+    held: HeldMembers,
 }
 
-/// Members that get nothing new whatever the list says, by name: those of a start (Unix milliseconds) up to this one.
-pub type Held = FxHashMap<String, f64>;
-
 /// A part of the ready members beyond which the word of others alone holds none out: they may be the ones that are wrong.
 const BY_WORD_MOST: f64 = 0.5;
 
@@ -162,7 +160,11 @@
     /// Holds members out: those that are ordered, and those that others have heard of, unless that were most of them. Gives
     /// what has changed for the module, the backends whose idle connections are of no more use, and whether the others'
     /// word was passed over.
-    pub fn hold(&mut self, ordered: Held, by_word: Held) -> (Vec<BackendInfo>, Vec<BackendId>, bool) {
+    pub fn hold(
+        &mut self,
+        ordered: HeldMembers,
+        by_word: HeldMembers,
+    ) -> (Vec<BackendInfo>, Vec<BackendId>, bool) {
         let Some(own) = self.own.take() else { return (Vec::new(), Vec::new(), false) };
         let ready = own.iter().filter(|(_, info)| info.state == BackendState::Ready);
         let ready: Vec<BackendId> = ready.map(|(id, _)| *id).collect();
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,6 +6,7 @@
 mod actions;
 mod log;
 mod open;
+mod pool;
 
 use log::Unserved;
 pub use open::{Asked, Final};
@@ -16,7 +17,7 @@
 use super::server::single;
 use super::trace::step;
 use super::upstream::{Answer, AttemptTimes, Ended, Inbound, Upstream};
-use crate::fleet::{Counts, Denied, Fleet, Held};
+use dewrun_agent::{Agent, Counts, Denied, Reservation};
 use dewrun_discovery::Mode;
 use dewrun_replica::cells::Cells;
 use hyper::StatusCode;
@@ -97,7 +98,7 @@
     /// The most requests held at once.
     pub max_open: usize,
     /// Those with whom budgets of attempts are shared.
-    pub fleet: Option<Rc<Fleet>>,
+    pub fleet: Option<Rc<Agent>>,
 }
 
 /// See the module's text.
@@ -118,7 +119,7 @@
     probe_path: &'static str,
     listed: Cell<bool>,
     closed: Cell<bool>,
-    fleet: Option<Rc<Fleet>>,
+    fleet: Option<Rc<Agent>>,
     state: RefCell<State>,
 }
 
@@ -218,31 +219,6 @@
         self.state.borrow_mut().balancer.beside(others, in_flight);
     }
 
-    /// Holds members out, or no longer: those that are ordered, and those that other processes have heard to drain or to be
-    /// gone.
-    pub fn hold(&self, ordered: discovery::Held, by_word: discovery::Held) {
-        let state = &mut *self.state.borrow_mut();
-        let heard = by_word.len();
-        let (infos, stale, passed_over) = state.directory.hold(ordered, by_word);
-        if passed_over {
-            warn!(
-                pool = self.name,
-                "other processes hold {heard} members for gone or draining, which are most here: passed over"
-            );
-        }
-        stale.into_iter().for_each(|backend| self.upstream.close_idle(backend));
-        self.follow_cells(state);
-        if !infos.is_empty() {
-            let version = state.index.unwrap_or_default() as u32;
-            self.handle(state, Happening::List(ListKind::Delta, version, infos));
-        }
-    }
-
-    /// Whether a member is listed.
-    pub fn lists(&self, member: &str) -> bool {
-        self.state.borrow().directory.names().any(|name| name == member)
-    }
-
     /// Tells which of how many processes this is; see [`Balancer::among`].
     pub fn among(&self, rank: u32, processes: u32) {
         self.state.borrow_mut().balancer.among(rank, processes);
@@ -255,9 +231,9 @@
         let (infos, stale) = state.directory.apply(list);
         stale.into_iter().for_each(|backend| self.upstream.close_idle(backend));
         if let Some(fleet) = &self.fleet {
-            fleet.listed(&self.name, state.directory.names());
+            fleet.set_pool_members(&self.name, state.directory.names());
             let given = self.membership.get() == Membership::Given;
-            fleet.told(&self.name, given, state.directory.own());
+            fleet.report_members(&self.name, given, pool::listed_members(&state.directory));
         }
         self.follow_cells(state);
         let used: FxHashSet<BackendId> =
--- a/src/net/driver/open.rs
+++ b/src/net/driver/open.rs
@@ -87,7 +87,7 @@
     pub(super) backend: BackendId,
     pub(super) cancel: Option<oneshot::Sender<()>>,
     /// What it holds of the fleet's budgets, until it ends.
-    pub(super) _held: Option<Held>,
+    pub(super) _held: Option<Reservation>,
 }
 
 pub(super) struct Open {
--- a/src/net/installation.rs
+++ b/src/net/installation.rs
@@ -1,7 +1,7 @@
 //! An operator's installation as it is served: its pools, and how it changes from one file to the next.
 
 use super::pool::{Common, Pool};
-use crate::fleet::{Counts, Fleet};
+use dewrun_agent::{Agent, Counts, Place};
 use dewrun_config::{
     Class, Effect as Declared, Installation, Instance, Membership, Scope as KeyScope, Tenant,
 };
@@ -36,7 +36,7 @@
     /// For each tenant, class and pool that was asked for, the budgets that it counts to.
     budgets: RefCell<FxHashMap<Kind, Rc<Counts>>>,
     /// Those with whom budgets are shared.
-    pub fleet: Option<Rc<Fleet>>,
+    pub fleet: Option<Rc<Agent>>,
 }
 
 impl Installed {
@@ -96,7 +96,7 @@
 
     /// Tells the pools which of how many processes this is.
     pub fn follow_fleet(&self) {
-        if let Some((rank, processes)) = self.fleet.as_ref().map(|fleet| fleet.place()) {
+        if let Some(Place { rank, processes }) = self.fleet.as_ref().map(|fleet| fleet.place()) {
             self.pools.iter().for_each(|pool| pool.driver.among(rank, processes));
         }
     }
--- a/src/net/ordinary.rs
+++ b/src/net/ordinary.rs
@@ -12,8 +12,8 @@
 use super::stream::{AnswerBody, ReplyBody};
 use super::trace::step;
 use super::upstream::{Answer, InBody, Inbound, TIMEOUT_HEADER};
-use crate::fleet::{Counts, Held};
 use bytes::Bytes;
+use dewrun_agent::{Counts, OverBudget, Reservation};
 use dewrun_budgets::node::WEIGHT;
 use dewrun_config::{Effect, Installation, Route, TenantFrom};
 use dewrun_forwarding::{is_upgrade, proxy_status, repeat, strip, tell_origin, via, Declared};
@@ -132,7 +132,7 @@
         let Routed { mut asked, timeout, pool, path, budgets } = self.route(&installed, caller, &head)?;
         caller.take();
         if let Some(fleet) = &installed.fleet {
-            fleet.awake().await;
+            fleet.wait_while_catching_up().await;
         }
         let held = self.spend(&installed, budgets, &head)?;
         let Taken { body, from } = self.take_body(&installed, caller, body, timeout).await?;
@@ -251,16 +251,17 @@
         installed: &Installed,
         budgets: Option<(Rc<Counts>, u32)>,
         head: &Parts,
-    ) -> Result<Option<Held>, Early> {
+    ) -> Result<Option<Reservation>, Early> {
         let (Some(fleet), Some((budgets, worth))) = (&installed.fleet, budgets) else { return Ok(None) };
-        let Err((name, after_ms)) = fleet.spend(&budgets.requests, worth) else {
-            return Ok(Some(Held::new(fleet.clone(), budgets.requests.clone())));
+        let OverBudget { budget, retry_after_ms } = match fleet.spend(&budgets.requests, worth) {
+            Ok(reservation) => return Ok(Some(reservation)),
+            Err(over) => over,
         };
         let id = single(&head.headers, REQUEST_ID.as_str()).unwrap_or("-");
-        step!(event = "answer", id, answer = "refused", why = "over a budget", budget = name);
+        step!(event = "answer", id, answer = "refused", why = "over a budget", budget = budget);
         let reply = plain(StatusCode::TOO_MANY_REQUESTS, "refused: over a budget");
         let mut reply = self.own(reply, "http_request_denied");
-        reply.headers_mut().insert(RETRY_AFTER, whole_seconds(after_ms));
+        reply.headers_mut().insert(RETRY_AFTER, whole_seconds(retry_after_ms));
         Err(reply.into())
     }
 
@@ -348,7 +349,7 @@
     caller: &Caller,
     answer: Answer,
     of_head: bool,
-    held: Option<Held>,
+    held: Option<Reservation>,
 ) -> Reply {
     let body = match answer.body {
         AnswerBody::Whole(body) => {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -5,7 +5,7 @@
 use super::driver::{Driver, Membership as Told, Start};
 use super::limits::Limits;
 use super::upstream::{AnswerTimes, Upstream};
-use crate::fleet::Fleet;
+use dewrun_agent::Agent;
 use dewrun_config::{read_members, Member, Membership, Pool as Config};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -50,7 +50,7 @@
     /// The folder that file names are relative to.
     pub folder: PathBuf,
     /// Those with whom budgets are shared.
-    pub fleet: Option<Rc<Fleet>>,
+    pub fleet: Option<Rc<Agent>>,
 }
 
 fn now_ms() -> f64 {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,13 +1,13 @@
 //! `dewrun serve`: an operator's installation from its start to its orderly end.
 
 use crate::cli::{folder, Serve};
-use crate::fleet::Fleet;
 use crate::net::installation;
 use crate::net::limits::Limits;
 use crate::net::ordinary::Ordinary;
 use crate::net::pool::Common;
 use crate::net::server::{Leave, Server, Times};
 use crate::net::upstream::AnswerTimes;
+use dewrun_agent::Agent;
 use dewrun_config::{Installation, LogFormat};
 use dewrun_control::Plan;
 use std::hash::{BuildHasher, RandomState};
@@ -52,7 +52,7 @@
         linger: LINGER,
     };
     let folder = asked.config.as_deref().map(folder).unwrap_or_default();
-    let fleet = Fleet::start(&config, &folder).await?;
+    let fleet = Agent::start(&config, &folder).await?;
     let common = Common {
         limits: limits.clone(),
         times: AnswerTimes { answer_idle: config.limits.answer_idle, caller_idle: config.limits.caller_idle },
@@ -73,7 +73,7 @@
         let most = front.installed().config.fleet.as_ref().map_or(Duration::ZERO, |fleet| fleet.catch_up);
         let from = Instant::now();
         if fleet.caught_up(most).await {
-            fleet.learn_from_sisters(most.saturating_sub(from.elapsed())).await;
+            fleet.learn_from_peers(most.saturating_sub(from.elapsed())).await;
             info!("fleet: caught up after {} ms", from.elapsed().as_millis());
         } else if !most.is_zero() {
             warn!(
