--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -3,6 +3,7 @@
 use crate::file_budgets::FileBudgets;
 use crate::replica::{Replica, ReplicaStart};
 use crate::state::{FleetSize, Logged, Rejected, State};
+use crate::transport::{PacketFilter, Transport};
 use crate::{clock, pool};
 use dewrun_budgets::node::Node;
 use dewrun_budgets::{Id, Life, Rules};
@@ -18,16 +19,34 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::{Rc, Weak};
-use tokio::net::UdpSocket;
+use std::time::Duration;
 use tracing::info;
 
+/// How often a process of its own looks what is due.
+const TICK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// This process in its fleet.
 pub struct Agent {
-    pub(crate) socket: UdpSocket,
+    pub(crate) transport: Transport,
+    pub(crate) tick_interval: Duration,
     pub(crate) seal: Seal,
     pub(crate) state: RefCell<State>,
 }
 
+/// How an agent runs in the program that embeds it.
+pub struct Options {
+    /// How often it is looked what is due. Packets are read as they come.
+    pub tick_interval: Duration,
+    /// What keeps packets from passing, in trials of faults.
+    pub filter: Option<Rc<dyn PacketFilter>>,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options { tick_interval: TICK_INTERVAL, filter: None }
+    }
+}
+
 /// Which of how many processes one is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -56,11 +75,17 @@
 
 impl Agent {
     /// Binds the fleet's address. Gives none if the file has no fleet.
-    pub async fn start(config: &Installation, folder: &Path) -> Result<Option<Rc<Agent>>, String> {
+    pub async fn start(
+        config: &Installation,
+        folder: &Path,
+        options: Options,
+    ) -> Result<Option<Rc<Agent>>, String> {
         let Some(fleet) = config.fleet.clone() else { return Ok(None) };
         let secret = secret_of(&fleet, folder)?;
         let address = fleet.address;
-        let socket = UdpSocket::bind(address).await.map_err(|e| format!("fleet address {address}: {e}"))?;
+        let Options { tick_interval, filter } = options;
+        let transport =
+            Transport::bind(address, filter).await.map_err(|e| format!("fleet address {address}: {e}"))?;
         // The standard library's own randomness, which it takes from the system.
         let mut rng = Xoshiro256PlusPlus::seed_from_u64(RandomState::new().hash_one(address));
         let (now, life) = (clock::now(), Life(rng.random()));
@@ -103,7 +128,7 @@
         };
         let seal = Seal::new(&state.config.name, &secret);
         info!("fleet {}: at {address}, {} voters", state.config.name, voters.len());
-        Ok(Some(Rc::new(Agent { socket, seal, state: RefCell::new(state) })))
+        Ok(Some(Rc::new(Agent { transport, tick_interval, seal, state: RefCell::new(state) })))
     }
 
     /// Where the others reach it.
--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -11,11 +11,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::{interval, MissedTickBehavior};
 
-/// How often it is looked what is due.
-const TICK: Duration = Duration::from_millis(10);
 /// Packets that are read before callers get their turn again.
 const AT_ONCE: usize = 64;
 /// Room for a packet that is larger than any that is taken, so that it shows.
@@ -32,17 +29,17 @@
 impl Agent {
     /// Exchanges packets with the others for as long as the process lives.
     pub async fn run(self: Rc<Agent>) {
-        let mut tick = interval(TICK);
+        let mut tick = interval(self.tick_interval);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; RECEIVE_BUFFER];
         loop {
             tokio::select! {
-                got = self.socket.recv_from(&mut buffer) => {
-                    let mut next = got.ok().map(|(n, _)| n);
+                length = self.transport.receive(&mut buffer) => {
+                    let mut next = length;
                     for _ in 0..AT_ONCE {
-                        let Some(n) = next else { break };
-                        self.take(&buffer[..n]);
-                        next = self.socket.try_recv_from(&mut buffer).ok().map(|(n, _)| n);
+                        let Some(length) = next else { break };
+                        self.take(&buffer[..length]);
+                        next = self.transport.try_receive(&mut buffer);
                     }
                 }
                 _ = tick.tick() => self.tick(),
@@ -117,7 +114,7 @@
         self.send(state, out);
     }
 
-    /// What can't be sent is as good as lost on the way.
+    /// Sends what there is, the messages of budgets for one process together.
     fn send(&self, state: &State, out: Outgoing) {
         let me = state.config.address;
         let mut by_process: BTreeMap<Id, Vec<Message>> = BTreeMap::new();
@@ -151,6 +148,6 @@
     }
 
     fn send_bytes(&self, state: &State, to: SocketAddr, bytes: &[u8]) {
-        let _ = self.socket.try_send_to(bytes, state.route(to));
+        self.transport.send(state.route(to), bytes);
     }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -21,8 +21,9 @@
 mod snapshot_file;
 mod state;
 pub mod status;
+pub mod transport;
 
-pub use agent::{read_secret, Agent, Place};
+pub use agent::{read_secret, Agent, Options, Place};
 pub use budgets::{Denied, OverBudget, Reservation};
 pub use file_budgets::Counts;
 pub use pool::Pool;
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -91,6 +91,7 @@
         let (what, rest) = question.split_once(' ').unwrap_or((question, ""));
         match what {
             "status" => Some(json(&self.status())),
+            "summary" => Some(json(&self.summary())),
             "copy" => Some(json(&self.replica_status())),
             "challenge" => {
                 let state = &mut *self.state.borrow_mut();
--- a/crates/agent/src/status.rs
+++ b/crates/agent/src/status.rs
@@ -1,6 +1,9 @@
 //! What an operator sees of a fleet: asked of one process over TCP, a line of JSON back.
 
+use crate::state::State;
+use crate::transport::Traffic;
 use crate::{clock, Agent};
+use dewrun_budgets::Micros;
 use dewrun_fleet::members::Standing;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -26,6 +29,26 @@
     pub budgets: Vec<Share>,
     /// Packets that were not taken.
     pub rejected: u64,
+    /// Packets that came and went.
+    #[serde(default)]
+    pub traffic: Traffic,
+}
+
+/// What one process knows of its fleet, in short: for those that ask often.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Summary {
+    /// The form of this text.
+    pub version: u32,
+    /// The process that was asked.
+    pub address: SocketAddr,
+    /// The process that divides the budgets, as far as it is known, and its term.
+    pub grantor: Option<Grantor>,
+    /// Members that are up, itself included.
+    pub up: usize,
+    /// Members that do not answer, and have not said otherwise yet.
+    pub suspected: usize,
+    /// Packets that came and went.
+    pub traffic: Traffic,
 }
 
 /// See [`Status::grantor`].
@@ -80,12 +103,20 @@
     pub holders: Option<usize>,
 }
 
+impl State {
+    /// The grantor, as far as it is known.
+    fn grantor(&mut self, now: Micros) -> Option<Grantor> {
+        let epoch = self.node.in_office(now).or(self.node.grantor(now))?;
+        Some(Grantor { address: self.addresses.get(&epoch.by).copied(), term: epoch.number })
+    }
+}
+
 impl Agent {
     /// What it knows.
     pub fn status(&self) -> Status {
         let state = &mut *self.state.borrow_mut();
         let now = clock::now();
-        let grantor = state.node.in_office(now).or(state.node.grantor(now));
+        let grantor = state.grantor(now);
         let votes = |address| state.config.members.contains(&address);
         let members = state.members.all().into_iter().map(|(member, standing)| Known {
             votes: votes(member.address),
@@ -113,13 +144,27 @@
             address: state.config.address,
             name: state.members.me().name.clone(),
             held: state.node.is_held(),
-            grantor: grantor.map(|epoch| Grantor {
-                address: state.addresses.get(&epoch.by).copied(),
-                term: epoch.number,
-            }),
+            grantor,
             members: members.collect(),
             budgets: budgets.collect(),
             rejected: state.rejected.sum(),
+            traffic: self.transport.traffic(),
+        }
+    }
+
+    /// The same in short.
+    pub fn summary(&self) -> Summary {
+        let state = &mut *self.state.borrow_mut();
+        let grantor = state.grantor(clock::now());
+        let members = state.members.all();
+        let count = |standing| members.iter().filter(|(_, of)| *of == standing).count();
+        Summary {
+            version: 1,
+            address: state.config.address,
+            grantor,
+            up: count(Standing::Up),
+            suspected: count(Standing::Suspected),
+            traffic: self.transport.traffic(),
         }
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -7,7 +7,7 @@
 use crate::net::pool::Common;
 use crate::net::server::{Leave, Server, Times};
 use crate::net::upstream::AnswerTimes;
-use dewrun_agent::Agent;
+use dewrun_agent::{Agent, Options};
 use dewrun_config::{Installation, LogFormat};
 use dewrun_control::Plan;
 use std::hash::{BuildHasher, RandomState};
@@ -52,7 +52,7 @@
         linger: LINGER,
     };
     let folder = asked.config.as_deref().map(folder).unwrap_or_default();
-    let fleet = Agent::start(&config, &folder).await?;
+    let fleet = Agent::start(&config, &folder, Options::default()).await?;
     let common = Common {
         limits: limits.clone(),
         times: AnswerTimes { answer_idle: config.limits.answer_idle, caller_idle: config.limits.caller_idle },
