Play large fleets of a few real processes among many hollow ones: dewrun-rig hollow

A fleet of 1,500 is planned and one machine cannot hold so many real processes. dewrun-rig hollow starts control-plane agents without listeners, pools and clients on sockets of their own, many to a thread, beside real dewrun serve processes of the same fleet. It reads the real ones from outside before and during each fault (a restart, a tenth killed, a zone and a region cut off, loss): processor time, memory, packets and bytes, p99 of a small load beside the same load past them, members up.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use dewrun_rig::baseline::{forwarder, relay};
 use dewrun_rig::drill;
+use dewrun_rig::hollow;
 use dewrun_rig::load::{run, Pace, Plan, Run};
 use dewrun_testkit::{free_address, ok, quick, Daemon};
 use std::net::SocketAddr;
@@ -65,6 +66,35 @@
         #[arg(long)]
         plot: Option<PathBuf>,
     },
+    /// Play a large fleet: a few real processes among many hollow ones
+    ///
+    /// Exits with 1 if a process was not seen as it is to be, and with 3 if the machine was too slow for a verdict.
+    Hollow {
+        /// How many processes in all
+        #[arg(long, default_value_t = 300)]
+        processes: usize,
+        /// How many of them are real
+        #[arg(long, default_value_t = 5)]
+        real: usize,
+        /// For what is left to chance
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How long all of it may take
+        #[arg(long, default_value_t = 300)]
+        seconds: u64,
+        /// How often hollow processes look what is due, in milliseconds
+        #[arg(long, default_value_t = hollow::TICK.as_millis() as u64)]
+        tick_ms: u64,
+        /// Play this fault alone
+        #[arg(long)]
+        fault: Option<hollow::Fault>,
+        /// Write lines of JSON to this file
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// The program
+        #[arg(long, default_value = "target/release/dewrun")]
+        dewrun: String,
+    },
     /// Compare a dewrun with a byte relay and a bare forwarder, in turn
     Paths {
         /// The program
@@ -189,6 +219,23 @@
     ExitCode::from(u8::from(!kept))
 }
 
+/// Plays a large fleet, and tells what it has shown.
+fn play_hollow(plan: &hollow::Plan, json: Option<&Path>) -> Result<ExitCode, String> {
+    let report = hollow::run(plan)?;
+    println!("{}", report.table());
+    if let Some(file) = json {
+        std::fs::write(file, report.json_lines()).map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    let breaches = report.breaches();
+    breaches.iter().for_each(|breach| println!("{breach}"));
+    if !report.counts() {
+        let most = hollow::LATE_MOST.as_millis();
+        println!("no verdict: this program was late by more than {most} ms");
+        return Ok(ExitCode::from(3));
+    }
+    Ok(ExitCode::from(u8::from(!breaches.is_empty())))
+}
+
 /// A plan from a file; every fault of it with its place.
 fn plan(file: &Path) -> Result<drill::Plan, String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
@@ -232,6 +279,15 @@
             }
             told(&plan, &report, json)
         }
+        Command::Hollow { processes, real, seed, seconds, tick_ms, fault, json, dewrun } => {
+            let faults = fault.map_or(hollow::Fault::ALL.to_vec(), |fault| vec![fault]);
+            let tick_interval = Duration::from_millis(tick_ms);
+            let plan = hollow::Plan { processes, real, seed, seconds, tick_interval, faults, dewrun };
+            play_hollow(&plan, json.as_deref()).unwrap_or_else(|why| {
+                eprintln!("dewrun-rig: {why}");
+                ExitCode::from(2)
+            })
+        }
         Command::Load { address, callers, rate, seconds } => {
             if !address.ip().is_loopback() {
                 eprintln!("dewrun-rig: {address} is not a loopback address");
--- a/crates/testkit/src/daemon.rs
+++ b/crates/testkit/src/daemon.rs
@@ -1,6 +1,7 @@
 //! A program that runs as an operator would start it: by arguments, with its log kept.
 
 use crate::{listen, until};
+use rustix::param::clock_ticks_per_second;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::ops::{Deref, DerefMut};
@@ -9,6 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 /// An address that was free a moment ago.
 pub fn free_address() -> SocketAddr {
@@ -94,10 +96,30 @@
 
     /// Its resident memory, in KiB.
     pub fn resident_kib(&self) -> usize {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.0.id())).expect("its status");
-        let line = text.lines().find(|line| line.starts_with("VmRSS:")).expect("its memory");
-        line.split_whitespace().nth(1).and_then(|kib| kib.parse().ok()).expect("a number")
+        resident_kib_of(self.0.id())
     }
+
+    /// Processor time that it has used, by itself and by the system for it.
+    pub fn processor_time(&self) -> Duration {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).expect("its times");
+        // The name in parentheses may hold spaces; the state follows it.
+        let (_, fields) = text.rsplit_once(')').expect("a name");
+        let fields: Vec<&str> = fields.split_whitespace().collect();
+        let ticks = |field: usize| fields[field].parse::<u64>().expect("a number");
+        let used = ticks(USER_TIME) + ticks(SYSTEM_TIME);
+        Duration::from_millis(used * 1_000 / clock_ticks_per_second())
+    }
+}
+
+/// Fields of /proc/PID/stat, counted from the state on.
+const USER_TIME: usize = 11;
+const SYSTEM_TIME: usize = 12;
+
+/// Resident memory of a process, in KiB.
+pub fn resident_kib_of(process: u32) -> usize {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status")).expect("its status");
+    let line = text.lines().find(|line| line.starts_with("VmRSS:")).expect("its memory");
+    line.split_whitespace().nth(1).and_then(|kib| kib.parse().ok()).expect("a number")
 }
 
 impl Drop for Process {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,7 +7,7 @@
 mod large;
 mod links;
 
-pub use daemon::{free_address, free_addresses, Daemon, Folder, Process};
+pub use daemon::{free_address, free_addresses, resident_kib_of, Daemon, Folder, Process};
 pub use faults::{Cold, Fault, Full};
 pub use large::{quick, Large};
 pub use links::{Links, Weather, FAIR};
