Test that real processes among hollow ones see all members

60 hollow and 3 real processes: the real ones see all 63, see them again when one has started again, and hold none of 6 that were killed.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,9 @@
 //! What came to the backends is counted there; links, kills, stops and starts are the harness's (`crates/rig`).
 
 use dewrun_rig::drill::{Fault, Kind, Offer, Plan, Report, Site};
+use dewrun_rig::hollow::{self, HollowFleet};
 use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
 const DEWRUN: &str = env!("CARGO_BIN_EXE_dewrun");
 const RATE: f64 = 200.0;
@@ -180,3 +182,37 @@
     let served: u64 = report.seconds[5..8].iter().map(|s| s.served).sum();
     assert!(served > 120, "{served} served in three seconds");
 }
+
+/// Far longer than members need to find out about each other on a busy machine.
+const SEEN_WITHIN: Duration = Duration::from_secs(120);
+
+#[test]
+fn real_processes_among_hollow_ones_see_all() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let (hollow, real, killed) = (60, 3, 6);
+    let plan = hollow::Plan {
+        processes: hollow + real,
+        real,
+        seed: 1,
+        seconds: 200,
+        tick_interval: hollow::TICK,
+        faults: Vec::new(),
+        dewrun: DEWRUN.into(),
+    };
+    let mut fleet = HollowFleet::start(&plan).expect("a fleet");
+    let sees = |fleet: &HollowFleet, members: usize, when: &str| {
+        let seen = fleet.all_real_see(members, SEEN_WITHIN);
+        assert!(seen.is_some(), "{when}: {members} members are up; real ones see {:?}", fleet.real_views());
+        println!("{when}: all real ones see {members} after {seen:?}");
+    };
+    sees(&fleet, hollow + real, "when all have started");
+    fleet.processes[real - 1].restart();
+    sees(&fleet, hollow + real, "when a real one has started again");
+    let gone = fleet.kill_hollow(killed);
+    assert_eq!(gone.len(), killed);
+    sees(&fleet, hollow + real - killed, "when some hollow ones were killed");
+    assert_eq!(fleet.holders_of(&gone), Vec::<String>::new(), "they are held for up by nobody");
+    let traffic = fleet.processes[0].status().expect("its status").traffic;
+    assert!(traffic.packets_sent > 0 && traffic.bytes_sent > traffic.packets_sent, "{traffic:?}");
+    assert!(traffic.packets_received > 0 && traffic.bytes_received > traffic.packets_received, "{traffic:?}");
+}
