--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -35,6 +35,11 @@
 
 /// Plays it; gives when the cold backend was sent to, counted from its start.
 fn play(spread: Spread, seed: u64) -> Vec<Millis> {
+    play_restarting(spread, seed, |at| (spread.restarts && at % 2 == 0).then_some(spread.told))
+}
+
+/// The same, where `restarts` gives for a copy that forgets all what size of the fleet its membership then tells it.
+fn play_restarting(spread: Spread, seed: u64, restarts: impl Fn(usize) -> Option<u32>) -> Vec<Millis> {
     let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
     let fleet = Settings { fleet_size: spread.told, ..settings() };
     let cold = BackendInfo { started_at: Some(STARTED), ..backend(COLD) };
@@ -79,10 +84,11 @@
             copies[i].now = now;
             if now >= told_at[i] && !std::mem::replace(&mut told[i], true) {
                 let list: Vec<BackendInfo> = backends(spread.stay).into_iter().chain([cold]).collect();
-                if spread.restarts && i % 2 == 0 {
+                if let Some(size) = restarts(i) {
                     out.retain(|(at, ..)| *at != i);
                     copies[i] = copy(i as u32, random.random(), &[]);
                     copies[i].now = now;
+                    copies[i].balancer.among(i as u32 % size, size);
                 }
                 copies[i].list(ListKind::Full, &list);
             }
@@ -147,3 +153,45 @@
         }
     }
 }
+
+/// The calls in the fullest window, beside its budget: how many, and the most that the rule and chance allow there.
+fn fullest_window(sent_at: &[Millis]) -> (usize, f64) {
+    let fall = settings().rules.fall_ms;
+    let windows = sent_at.iter().map(|from| {
+        let count = sent_at.iter().filter(|at| *at >= from && **at < from + fall).count();
+        let budget = budget(*from);
+        (count, budget + 2.0 * budget.sqrt() + 2.0)
+    });
+    windows.max_by(|a, b| (a.0 as f64 / a.1).total_cmp(&(b.0 as f64 / b.1))).unwrap_or((0, f64::INFINITY))
+}
+
+/// A copy that starts sees few members of a large fleet at first. What it takes for the fleet's size decides its part of a
+/// cold backend's budget, so it goes by the size that its sponsor told until its own view is whole.
+#[test]
+fn cold_budgets_hold_over_1500_copies_while_100_restart() {
+    const COPIES: u32 = 1_500;
+    const RESTARTED: usize = 100;
+    /// What a copy saw of 1,500 members at first, before a sponsor told the size; and one that sees nobody yet.
+    const SEEN_AT_FIRST: [u32; 2] = [214, 1];
+    let calm =
+        Spread { copies: COPIES, even: true, burst_after: None, restarts: false, told: COPIES, stay: WARM };
+    for spread in [calm, Spread { even: false, ..calm }, Spread { burst_after: Some(2_000.0), ..calm }] {
+        for size in [COPIES].into_iter().chain(SEEN_AT_FIRST) {
+            for seed in 0..2 {
+                let every = COPIES as usize / RESTARTED;
+                let sent_at = play_restarting(spread, seed, |at| (at % every == 0).then_some(size));
+                let (count, most) = fullest_window(&sent_at);
+                let exceeded = if count as f64 > most { "exceeded" } else { "holds" };
+                println!(
+                    "{RESTARTED} of {COPIES} copies restart and are told of {size}, even {}, burst after {:?}, seed {seed}: \
+                     {count} in the fullest window, {most:.1} allowed: {exceeded}",
+                    spread.even, spread.burst_after
+                );
+                if size == COPIES {
+                    assert!(count as f64 <= most, "{spread:?}, seed {seed}: {count}, {most:.1} allowed");
+                    assert!(!sent_at.is_empty(), "{spread:?}, seed {seed}: the cold backend gets nothing");
+                }
+            }
+        }
+    }
+}
