--- a/crates/budgets/src/simulate.rs
+++ b/crates/budgets/src/simulate.rs
@@ -8,7 +8,8 @@
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashSet};
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
+use std::time::Duration;
 
 /// How messages fare.
 #[derive(Clone, Copy, Debug)]
@@ -56,10 +57,35 @@
     pub offered: u64,
     /// Requests that were let in.
     pub spent: u64,
-    /// Messages, and roughly their bytes.
+    /// Messages that were sent.
     pub messages: u64,
 }
 
+/// What one process has sent, was sent and has worked since the world began.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    /// Messages that it sent.
+    pub messages_out: u64,
+    /// Bytes of the packets that it sent, with the headers of UDP and IPv4.
+    pub bytes_out: u64,
+    /// Messages that were sent to it, lost ones included.
+    pub messages_in: u64,
+    /// Bytes of the packets that were sent to it.
+    pub bytes_in: u64,
+    /// Processor time of its part in the budgets; zero unless [`World::processor_clock`] is set.
+    pub worked: Duration,
+}
+
+/// Bytes in every packet beside its messages: the protocol's mark, the hash, the sender's address, two tags, and the headers
+/// of UDP and IPv4.
+const PACKET_HEAD: usize = 4 + 16 + 8 + 2 + 28;
+/// Bytes of messages that one packet holds.
+const PACKET_ROOM: usize = 1_400 - 30;
+
+fn encoded_size(message: &Message) -> usize {
+    postcard::serialize_with_flavor(message, postcard::ser_flavors::Size::default()).unwrap_or(0)
+}
+
 /// See the module's text.
 pub struct World {
     rules: Rules,
@@ -79,6 +105,9 @@
     /// When each request was let in, by the first budget.
     pub spent: Vec<Micros>,
     account: Account,
+    traffic: Vec<Traffic>,
+    /// Tells the processor time spent so far, where the work of each process is to be measured.
+    pub processor_clock: Option<fn() -> Duration>,
     /// The invariant's worst case so far: the most that all believed to hold, as a part of the whole.
     pub worst: f64,
     /// Whether to ask for the invariant after every step.
@@ -107,6 +136,8 @@
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             spent: Vec::new(),
             account: Account::default(),
+            traffic: Vec::new(),
+            processor_clock: None,
             worst: 0.0,
             audit: true,
             drift: 0.01,
@@ -126,6 +157,7 @@
             Process { node, rate, offset, demand: 0.0, owed: 0.0, asleep_until: 0, inbox: Vec::new() };
         if self.processes.len() <= at {
             self.processes.resize_with(at + 1, || None);
+            self.traffic.resize(at + 1, Traffic::default());
         }
         self.processes[at] = Some(process);
         let first = self.now + self.rng.random_range(0..LOOK);
@@ -202,12 +234,48 @@
         std::mem::take(&mut self.account)
     }
 
+    /// What each process has sent, was sent and has worked since the world began.
+    pub fn traffic(&self) -> &[Traffic] {
+        &self.traffic
+    }
+
+    fn processor_time(&self) -> Duration {
+        self.processor_clock.map_or(Duration::ZERO, |clock| clock())
+    }
+
+    fn count_work(&mut self, at: usize, begun: Duration) {
+        let worked = self.processor_time() - begun;
+        self.traffic[at].worked += worked;
+    }
+
+    /// Counts what goes out in one step: all messages to one process share packets.
+    fn count_traffic(&mut self, from: usize, out: &[(Id, Message)]) {
+        let mut sizes: BTreeMap<usize, (u64, usize)> = BTreeMap::new();
+        for (to, message) in out {
+            let (messages, size) = sizes.entry(to.0 as usize).or_default();
+            *messages += 1;
+            *size += encoded_size(message);
+        }
+        for (to, (messages, size)) in sizes {
+            let bytes = (size + size.div_ceil(PACKET_ROOM) * PACKET_HEAD) as u64;
+            self.traffic[from].messages_out += messages;
+            self.traffic[from].bytes_out += bytes;
+            if let Some(receiver) = self.traffic.get_mut(to) {
+                receiver.messages_in += messages;
+                receiver.bytes_in += bytes;
+            }
+        }
+    }
+
     fn push(&mut self, at: Micros, event: Event) {
         self.next += 1;
         self.queue.push(Reverse((at, self.next, event)));
     }
 
     fn send(&mut self, from: usize, out: Vec<(Id, Message)>) {
+        if !out.is_empty() {
+            self.count_traffic(from, &out);
+        }
         for (to, message) in out {
             let to = to.0 as usize;
             self.account.messages += 1;
@@ -243,6 +311,7 @@
 
     fn step(&mut self, event: Event) {
         let now = self.now;
+        let begun = self.processor_time();
         match event {
             Event::Arrive(from, to, message) => {
                 let Some(Some(process)) = self.processes.get_mut(to) else { return };
@@ -253,6 +322,7 @@
                 }
                 let mut out = Vec::new();
                 process.node.take(process.clock(now), Id(from as u64), message, &mut out);
+                self.count_work(to, begun);
                 self.send(to, out);
             }
             Event::Look(at, life) => {
@@ -278,6 +348,7 @@
                     process.node.take(own, from, message, &mut out);
                 }
                 process.node.tick(own, &mut self.rng, &mut out);
+                self.count_work(at, begun);
                 self.send(at, out);
                 self.push(now + LOOK, Event::Look(at, life));
             }
--- a/crates/budgets/src/simulate/tests.rs
+++ b/crates/budgets/src/simulate/tests.rs
@@ -145,3 +145,18 @@
         assert!(after >= 0.9, "seed {seed}: {after} of the whole when all is mended");
     }
 }
+
+#[test]
+fn what_one_sends_is_counted_at_the_other() {
+    let mut world = fleet(3, 8, 0.0);
+    (0..8).for_each(|at| world.demand(at, 100.0));
+    world.run(6 * S);
+    let traffic = world.traffic();
+    let sum = |of: fn(&Traffic) -> u64| traffic.iter().map(of).sum::<u64>();
+    assert_eq!(sum(|t| t.messages_out), sum(|t| t.messages_in));
+    assert_eq!(sum(|t| t.bytes_out), sum(|t| t.bytes_in));
+    // A question is larger than its packet's head, and no packet of one message is larger than 200 bytes.
+    let bytes_each = sum(|t| t.bytes_out) as f64 / sum(|t| t.messages_out) as f64;
+    assert!((60.0..200.0).contains(&bytes_each), "{bytes_each} bytes a message");
+    assert!(traffic.iter().all(|t| t.worked == Duration::ZERO), "no clock was given");
+}
--- a/crates/emulator/src/budgets.rs
+++ b/crates/emulator/src/budgets.rs
@@ -1,9 +1,9 @@
 //! Ways to divide a whole among processes, played side by side: even parts by rank, escrow that pairs hand on, and leases
 //! from one grantor (the code of `dewrun-budgets`). And what leases cost as a fleet grows.
 
-use crate::uniform;
+use crate::{thread_time, uniform};
 use dewrun_budgets::node::{Budget, Limit};
-use dewrun_budgets::simulate::{Net, World, CALM};
+use dewrun_budgets::simulate::{Net, Traffic, World, CALM};
 use dewrun_budgets::Micros;
 use rand_xoshiro::rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -12,6 +12,8 @@
 const S: Micros = 1_000_000;
 const RATE: f64 = 200.0;
 const PROCESSES: usize = 12;
+/// Processes that vote in the plays of a fleet's cost.
+const VOTERS: usize = 3;
 
 /// What one way gave in one part of the play.
 #[derive(Clone, Debug)]
@@ -152,6 +154,47 @@
     vec![("parts by rank", by_rank()), ("escrow", escrow(seed)), ("leases", leases(seed))]
 }
 
+/// What one process sends, is sent and works a second.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    /// Messages that it sends.
+    pub messages_out: f64,
+    /// Bytes that it sends, with the headers of their packets.
+    pub bytes_out: f64,
+    /// Messages that are sent to it.
+    pub messages_in: f64,
+    /// Bytes that are sent to it.
+    pub bytes_in: f64,
+    /// Microseconds of processor time, without sockets and hashes.
+    pub cpu_us: f64,
+}
+
+impl Load {
+    /// From what was counted before and after a span of so many seconds.
+    fn between(before: &Traffic, after: &Traffic, seconds: f64) -> Load {
+        let rate = |before: u64, after: u64| (after - before) as f64 / seconds;
+        Load {
+            messages_out: rate(before.messages_out, after.messages_out),
+            bytes_out: rate(before.bytes_out, after.bytes_out),
+            messages_in: rate(before.messages_in, after.messages_in),
+            bytes_in: rate(before.bytes_in, after.bytes_in),
+            cpu_us: (after.worked - before.worked).as_secs_f64() * 1e6 / seconds,
+        }
+    }
+
+    /// The mean of some; nothing for none.
+    fn mean(all: &[Load]) -> Load {
+        let mean = |of: fn(&Load) -> f64| all.iter().map(of).sum::<f64>() / all.len().max(1) as f64;
+        Load {
+            messages_out: mean(|load| load.messages_out),
+            bytes_out: mean(|load| load.bytes_out),
+            messages_in: mean(|load| load.messages_in),
+            bytes_in: mean(|load| load.bytes_in),
+            cpu_us: mean(|load| load.cpu_us),
+        }
+    }
+}
+
 /// What a fleet of one size costs.
 #[derive(Clone, Copy, Debug)]
 pub struct Cost {
@@ -163,6 +206,12 @@
     pub messages: f64,
     /// Of the grantor alone, which answers them all: microseconds of processor time a second, with the simulation's own.
     pub cpu_us: f64,
+    /// The grantor.
+    pub grantor: Load,
+    /// A voter that is not the grantor, in the mean.
+    pub voter: Load,
+    /// A process that neither votes nor grants, in the mean.
+    pub holder: Load,
     /// How long it took until 0.95 of the whole was spent again after a tenth had died; `None` if it did not within 8 s.
     pub anew_s: Option<f64>,
 }
@@ -173,18 +222,25 @@
     let limit = Limit::Rate { rate, burst: 4.0 * processes as f64, floor: 0.0 };
     let all =
         (0..budgets).map(|n| Budget { name: format!("budget {n}"), member: String::new(), limit }).collect();
-    let mut world = World::new(seed, 3, all);
+    let mut world = World::new(seed, VOTERS, all);
     world.audit = false;
+    world.processor_clock = Some(thread_time);
     for n in 0..processes {
         world.start(n);
         world.demand(n, 40.0);
     }
     world.run(6 * S);
     world.account();
+    let before = world.traffic().to_vec();
     let begun = Instant::now();
     world.run(8 * S);
     let wall = begun.elapsed().as_secs_f64();
     let account = world.account();
+    let grantor = world.grantor();
+    let loads: Vec<Load> =
+        before.iter().zip(world.traffic()).map(|(before, after)| Load::between(before, after, 2.0)).collect();
+    let voters = loads.iter().enumerate().take(VOTERS).filter(|(at, _)| Some(*at) != grantor);
+    let voters: Vec<Load> = voters.map(|(_, load)| *load).collect();
     // None of the voters: the loss of a grantor is another matter.
     (processes - processes / 10..processes).for_each(|n| world.kill(n));
     let mut anew_s = None;
@@ -198,5 +254,14 @@
         }
     }
     let each = processes as f64 * 2.0;
-    Cost { processes, budgets, messages: account.messages as f64 / each, cpu_us: wall * 1e6 / each, anew_s }
+    Cost {
+        processes,
+        budgets,
+        messages: account.messages as f64 / each,
+        cpu_us: wall * 1e6 / each,
+        grantor: grantor.and_then(|at| loads.get(at).copied()).unwrap_or_default(),
+        voter: Load::mean(&voters),
+        holder: Load::mean(loads.get(VOTERS..).unwrap_or_default()),
+        anew_s,
+    }
 }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,13 +4,14 @@
 //! ask at Poisson times, and any number of instances that each decide alone. Whatever implements [`Decider`] stands before
 //! it: the module itself, or one of the [`rivals`], which are models of how other balancers choose. [`matrix`] plays kinds
 //! of trouble against sizes, loads and effects, and [`report`] writes the outcome as text, JSON or a heat map. [`budgets`]
-//! compares ways to divide a whole among processes.
+//! compares ways to divide a whole among processes, [`replica`] and [`changes`] tell what it costs that all of them hold alike.
 //!
-//! Nothing here reads a clock or a socket. All randomness comes from one seed, so one seed gives one outcome everywhere.
+//! Nothing here goes by a clock or a socket; clocks are read only to tell what a play has cost. All randomness comes from one seed, so one seed gives one outcome everywhere.
 
 #![forbid(unsafe_code)]
 
 pub mod budgets;
+pub mod changes;
 pub mod matrix;
 pub mod replica;
 pub mod report;
@@ -19,6 +20,8 @@
 
 use rand_xoshiro::rand_core::RngCore;
 use rand_xoshiro::Xoshiro256PlusPlus;
+use rustix::time::{clock_gettime, ClockId};
+use std::time::Duration;
 use umberridge::api::{Action, Event, Millis};
 
 /// What decides for one instance: events in, actions out, in the terms of the module's own interface.
@@ -37,3 +40,9 @@
 pub(crate) fn uniform(random: &mut Xoshiro256PlusPlus) -> f64 {
     (random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
 }
+
+/// The processor time that this thread has spent.
+pub(crate) fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+}
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -79,7 +79,7 @@
     for processes in [3, 12, 40, 300].iter().chain(more) {
         for loss in [0.0, 0.2] {
             let orders = if *processes > 300 { 3 } else { 20 };
-            let it = grow(*processes, loss, orders);
+            let it = grow(*processes, loss, orders, *processes as u64);
             let (median, most) = it.everywhere_ms;
             println!(
                 "{processes:>9} {loss:>5} {median:>24.0} {most:>12.0} {:>21.0} {:>25.0}",
@@ -90,7 +90,7 @@
     println!("\nentries  lost  caught up after ms    bytes  ns to take one in");
     for entries in [10, 100, 1_000, 10_000, 100_000] {
         for loss in [0.0, 0.05] {
-            let it = catch_up(entries, loss);
+            let it = catch_up(entries, loss, 1);
             println!("{entries:>7} {loss:>5} {:>19.0} {:>8} {:>18.0}", it.ms, it.bytes, it.merge_ns);
         }
     }
--- a/crates/emulator/src/replica.rs
+++ b/crates/emulator/src/replica.rs
@@ -28,8 +28,8 @@
 }
 
 /// Plays orders, each at another process.
-pub fn grow(processes: usize, loss: f64, orders: usize) -> Growth {
-    let mut world = Net::new(processes, processes as u64);
+pub fn grow(processes: usize, loss: f64, orders: usize, seed: u64) -> Growth {
+    let mut world = Net::new(processes, seed);
     world.loss = loss;
     world.delay = 10 * MS;
     world.run(5 * S);
@@ -71,8 +71,8 @@
 }
 
 /// Plays one start among twelve.
-pub fn catch_up(entries: usize, loss: f64) -> CatchUp {
-    let mut world = Net::new(12, 1);
+pub fn catch_up(entries: usize, loss: f64, seed: u64) -> CatchUp {
+    let mut world = Net::new(12, seed);
     world.delay = 2 * MS;
     for n in 0..entries {
         world.write(n % 12, |store, now| {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use dewrun_rig::baseline::{forwarder, relay};
+use dewrun_rig::capacity;
 use dewrun_rig::drill;
 use dewrun_rig::load::{run, Pace, Plan, Run};
 use dewrun_testkit::{free_address, ok, quick, Daemon};
@@ -20,6 +21,8 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Measure how memory, processor time, messages and bytes grow with the size of an installation and its fleet
+    Capacity(capacity::Options),
     /// Ask one address
     Load {
         /// Who is asked; a loopback address
@@ -199,6 +202,7 @@
 
 fn main() -> ExitCode {
     match Cli::parse().command {
+        Command::Capacity(options) => capacity::run(&options),
         Command::Drill { file, dewrun, seed, processes, seconds, by_rank, json, logs, plot } => {
             let plan = match file {
                 Some(file) => plan(&file),
--- a/crates/testkit/src/daemon.rs
+++ b/crates/testkit/src/daemon.rs
@@ -75,6 +75,11 @@
         Process(command.spawn().expect("the program starts"))
     }
 
+    /// Its number.
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
     /// Sends a signal, as `-HUP`.
     pub fn signal(&self, name: &str) {
         let pid = self.0.id().to_string();
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -35,11 +35,29 @@
 
 /// Plays it; gives when the cold backend was sent to, counted from its start.
 fn play(spread: Spread, seed: u64) -> Vec<Millis> {
-    play_restarting(spread, seed, |at| (spread.restarts && at % 2 == 0).then_some(spread.told))
+    let tier = Tier { warm: WARM, capacity: CAPACITY, load: 1.0 };
+    play_restarting(spread, tier, seed, |at| (spread.restarts && at % 2 == 0).then_some(spread.told))
 }
 
-/// The same, where `restarts` gives for a copy that forgets all what size of the fleet its membership then tells it.
-fn play_restarting(spread: Spread, seed: u64, restarts: impl Fn(usize) -> Option<u32>) -> Vec<Millis> {
+/// The backends, and what is asked of them.
+#[derive(Clone, Copy, Debug)]
+struct Tier {
+    /// How many warm backends there are before the cold one comes.
+    warm: u32,
+    /// What a warm one does a second.
+    capacity: f64,
+    /// So many times the usual load.
+    load: f64,
+}
+
+/// The same for any tier, where `restarts` gives for a copy that forgets all what size of the fleet its membership then
+/// tells it.
+fn play_restarting(
+    spread: Spread,
+    tier: Tier,
+    seed: u64,
+    restarts: impl Fn(usize) -> Option<u32>,
+) -> Vec<Millis> {
     let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
     let fleet = Settings { fleet_size: spread.told, ..settings() };
     let cold = BackendInfo { started_at: Some(STARTED), ..backend(COLD) };
@@ -47,7 +65,7 @@
         Proxy::seeded(Settings { rank: rank % spread.told, ..fleet.clone() }, seed, list)
     };
     let mut copies: Vec<Proxy> =
-        (0..spread.copies).map(|rank| copy(rank, random.random(), &backends(WARM))).collect();
+        (0..spread.copies).map(|rank| copy(rank, random.random(), &backends(tier.warm))).collect();
     let weights: Vec<f64> =
         copies.iter().map(|_| if spread.even { 1.0 } else { random.random_range(0.3..4.0) }).collect();
     let sum: f64 = weights.iter().sum();
@@ -56,7 +74,7 @@
     let mut free_at = std::collections::BTreeMap::new();
     // When a call to a backend ends, and how.
     let mut serve = |to: BackendId, now: Millis| {
-        let service = 1_000.0 / (CAPACITY * if to == COLD { warmth(now - STARTED) } else { 1.0 });
+        let service = 1_000.0 / (tier.capacity * if to == COLD { warmth(now - STARTED) } else { 1.0 });
         let free: &mut Millis = free_at.entry(to).or_insert(0.0);
         let end = free.max(now) + service;
         if end > now + PATIENCE {
@@ -65,7 +83,7 @@
         *free = end;
         (end, Outcome::Ok)
     };
-    let full = f64::from(WARM) * CAPACITY;
+    let full = tier.load * f64::from(tier.warm) * tier.capacity;
     let mut now = 1_000.0;
     while now < STARTED + WATCHED {
         let rate = match spread.burst_after {
@@ -114,8 +132,12 @@
 
 /// What the settings allow in a window that begins then.
 fn budget(at: Millis) -> f64 {
+    budget_of(CAPACITY, at)
+}
+
+fn budget_of(capacity: f64, at: Millis) -> f64 {
     let rules = settings().rules;
-    rules.fall_multiple * warmth(at) * CAPACITY * rules.fall_ms / 1_000.0
+    rules.fall_multiple * warmth(at) * capacity * rules.fall_ms / 1_000.0
 }
 
 #[test]
@@ -155,14 +177,21 @@
 }
 
 /// The calls in the fullest window, beside its budget: how many, and the most that the rule and chance allow there.
-fn fullest_window(sent_at: &[Millis]) -> (usize, f64) {
+fn fullest_window(sent_at: &[Millis], capacity: f64) -> (usize, f64) {
     let fall = settings().rules.fall_ms;
-    let windows = sent_at.iter().map(|from| {
-        let count = sent_at.iter().filter(|at| *at >= from && **at < from + fall).count();
-        let budget = budget(*from);
-        (count, budget + 2.0 * budget.sqrt() + 2.0)
-    });
-    windows.max_by(|a, b| (a.0 as f64 / a.1).total_cmp(&(b.0 as f64 / b.1))).unwrap_or((0, f64::INFINITY))
+    let mut fullest = (0, f64::INFINITY);
+    let mut end = 0;
+    for (n, from) in sent_at.iter().enumerate() {
+        while end < sent_at.len() && sent_at[end] < from + fall {
+            end += 1;
+        }
+        let budget = budget_of(capacity, *from);
+        let most = budget + 2.0 * budget.sqrt() + 2.0;
+        if (end - n) as f64 / most > f64::from(fullest.0) / fullest.1 {
+            fullest = ((end - n) as u32, most);
+        }
+    }
+    (fullest.0 as usize, fullest.1)
 }
 
 /// A copy that starts sees few members of a large fleet at first. What it takes for the fleet's size decides its part of a
@@ -173,23 +202,38 @@
     const RESTARTED: usize = 100;
     /// What a copy saw of 1,500 members at first, before a sponsor told the size; and one that sees nobody yet.
     const SEEN_AT_FIRST: [u32; 2] = [214, 1];
-    let calm =
-        Spread { copies: COPIES, even: true, burst_after: None, restarts: false, told: COPIES, stay: WARM };
-    for spread in [calm, Spread { even: false, ..calm }, Spread { burst_after: Some(2_000.0), ..calm }] {
-        for size in [COPIES].into_iter().chain(SEEN_AT_FIRST) {
-            for seed in 0..2 {
-                let every = COPIES as usize / RESTARTED;
-                let sent_at = play_restarting(spread, seed, |at| (at % every == 0).then_some(size));
-                let (count, most) = fullest_window(&sent_at);
-                let exceeded = if count as f64 > most { "exceeded" } else { "holds" };
-                println!(
-                    "{RESTARTED} of {COPIES} copies restart and are told of {size}, even {}, burst after {:?}, seed {seed}: \
-                     {count} in the fullest window, {most:.1} allowed: {exceeded}",
-                    spread.even, spread.burst_after
-                );
-                if size == COPIES {
-                    assert!(count as f64 <= most, "{spread:?}, seed {seed}: {count}, {most:.1} allowed");
-                    assert!(!sent_at.is_empty(), "{spread:?}, seed {seed}: the cold backend gets nothing");
+    let every = COPIES as usize / RESTARTED;
+    let sparse = Tier { warm: WARM, capacity: CAPACITY, load: 1.0 };
+    // A service of the size of one in 46 of 1,500 backends: a call a second at each copy.
+    let dense = Tier { warm: 33, capacity: 50.0, load: 1.0 };
+    for tier in [sparse, dense] {
+        let calm = Spread {
+            copies: COPIES,
+            even: true,
+            burst_after: None,
+            restarts: false,
+            told: COPIES,
+            stay: tier.warm,
+        };
+        for spread in [calm, Spread { burst_after: Some(1_500.0), ..calm }, Spread { stay: 1, ..calm }] {
+            for size in [COPIES].into_iter().chain(SEEN_AT_FIRST) {
+                for seed in 0..2 {
+                    let restarts = |at: usize| (at % every == 0).then_some(size);
+                    let sent_at = play_restarting(spread, tier, seed, restarts);
+                    let (count, most) = fullest_window(&sent_at, tier.capacity);
+                    let exceeded = if count as f64 > most { "exceeded" } else { "holds" };
+                    println!(
+                        "told of {size}: {} of {} warm ones stay, burst after {:?}, seed {seed}: {count} in the \
+                         fullest window, {most:.1} allowed: {exceeded}",
+                        spread.stay, tier.warm, spread.burst_after
+                    );
+                    if size == COPIES {
+                        assert!(count as f64 <= most, "{spread:?}, seed {seed}: {count}, {most:.1} allowed");
+                        assert!(
+                            !sent_at.is_empty(),
+                            "{spread:?}, seed {seed}: the cold backend gets nothing"
+                        );
+                    }
                 }
             }
         }
