--- a/crates/emulator/src/changes.rs
+++ b/crates/emulator/src/changes.rs
@@ -160,14 +160,7 @@
 /// One order while so many writers are remembered that have written one entry each: what copies tell each other to find out
 /// what they lack names every one of them.
 pub fn order_among_origins(processes: usize, origins: usize, seed: u64) -> Changed {
-    let mut world = settled_world(processes, seed);
-    for at in 0..processes {
-        let Some(process) = &mut world.processes[at] else { continue };
-        for n in 0..origins {
-            process.store.merge(0, piece_of(n as u64));
-        }
-    }
-    world.run(10 * S);
+    let mut world = world_that_remembers(processes, origins, seed);
     let mut watch = Watch::start(&world);
     let mut on_its_way = vec![order(&mut world, 0, "shop/a")];
     let mut times_ms = Vec::new();
@@ -180,6 +173,38 @@
     watch.end(&world, times_ms)
 }
 
+/// One of the processes is killed and starts with nothing, while so many writers are remembered. The times are its own: until
+/// it holds what one other held.
+pub fn start_among_origins(processes: usize, origins: usize, seed: u64) -> Changed {
+    let mut world = world_that_remembers(processes, origins, seed);
+    let started = processes / 2;
+    world.kill(started);
+    let mut watch = Watch::start(&world);
+    world.start(started);
+    let from = world.now();
+    let mut took_ms = f64::INFINITY;
+    while world.now() < from + WINDOW_S as Micros * S {
+        watch.run(&mut world, LOOK);
+        let is_caught_up = world.processes[started].as_ref().is_some_and(|it| it.gossip.is_caught_up());
+        if is_caught_up && took_ms.is_infinite() {
+            took_ms = (world.now() - from) as f64 / 1e3;
+        }
+    }
+    watch.end(&world, vec![took_ms])
+}
+
+/// A world at rest in which each holds one entry of each of so many writers that are gone.
+fn world_that_remembers(processes: usize, origins: usize, seed: u64) -> Net {
+    let mut world = settled_world(processes, seed);
+    for process in world.processes.iter_mut().flatten() {
+        for n in 0..origins {
+            process.store.merge(0, piece_of(n as u64));
+        }
+    }
+    world.run(10 * S);
+    world
+}
+
 /// One entry of a writer that is not of this world.
 fn piece_of(n: u64) -> Piece {
     let key = Key { kind: dewrun_replica::kinds::NEWS, name: format!("shop/member-{n}") };
--- a/crates/rig/src/capacity/proxy.rs
+++ b/crates/rig/src/capacity/proxy.rs
@@ -1,7 +1,7 @@
 //! One real `dewrun serve` before stand-in members, and what it costs at rest and under load.
 
 use super::process::ProcessFigures;
-use super::stand_in::stand_ins;
+use super::stand_in::StandIns;
 use crate::load::{run, Pace, Plan, Run};
 use dewrun_testkit::{free_addresses, Daemon, Folder};
 use std::net::SocketAddr;
@@ -76,7 +76,7 @@
 pub struct Proxy {
     daemon: Daemon,
     front: SocketAddr,
-    members: Vec<SocketAddr>,
+    members: StandIns,
     services: usize,
     _folder: Folder,
 }
@@ -99,14 +99,14 @@
 impl Proxy {
     /// Starts a proxy before members of its own, and waits until it serves.
     pub fn start(program: &str, setup: &Setup) -> Proxy {
-        let members = stand_ins(setup.services * setup.members_each);
+        let members = StandIns::start(setup.services * setup.members_each);
         let folder = Folder::new();
         if let Some(snapshot) = setup.fleet.as_ref().and_then(|fleet| fleet.snapshot.as_ref()) {
             std::fs::create_dir_all(folder.path(STATE)).expect("a folder");
             std::fs::write(folder.path(STATE).join("copy"), snapshot).expect("the snapshot is written");
         }
         let addresses = free_addresses(2);
-        let file = folder.put("dewrun.toml", &setup.file(&members, addresses[0], addresses[1]));
+        let file = folder.put("dewrun.toml", &setup.file(&members.addresses, addresses[0], addresses[1]));
         let path = file.to_str().expect("a path");
         let mut daemon = Daemon::start(program, &["serve", "--config", path], &[]);
         daemon.comes_up(addresses[0]);
@@ -125,7 +125,7 @@
 
     /// One of its members, to be asked straight.
     pub fn member(&self) -> SocketAddr {
-        self.members[0]
+        self.members.addresses[0]
     }
 
     /// Has it connect to the members that it sends to.
--- a/crates/rig/src/capacity/simulated.rs
+++ b/crates/rig/src/capacity/simulated.rs
@@ -4,7 +4,9 @@
 use super::report::Axis;
 use super::Sizes;
 use dewrun_emulator::budgets::{cost, Cost, Load};
-use dewrun_emulator::changes::{drain_heard_by_all, order_among_origins, orders_at_rate, Changed};
+use dewrun_emulator::changes::{
+    drain_heard_by_all, order_among_origins, orders_at_rate, start_among_origins, Changed,
+};
 use dewrun_emulator::replica::{catch_up, grow};
 use std::thread;
 
@@ -16,7 +18,8 @@
 const ORDER_RATES: [usize; 6] = [1, 2, 5, 10, 20, 50];
 const CHANGE_PROCESSES: usize = 200;
 const ORIGINS: [usize; 7] = [50, 100, 200, 400, 800, 1_500, 3_000];
-const ORIGIN_PROCESSES: usize = 60;
+const START_PROCESSES: usize = 100;
+const ORIGIN_PROCESSES: usize = 400;
 
 const BYTES_PER_S: &str = "bytes/s";
 const MESSAGES_PER_S: &str = "messages/s";
@@ -102,19 +105,26 @@
         let plays = by_seed(sizes, |seed| orders_at_rate(CHANGE_PROCESSES, rate as f64, seed));
         plays.iter().for_each(|it| add_changed(&mut rates, rate, it));
     }
-    let setting = "60 processes, one order in 10 s, while so many writers of one entry each are remembered";
+    let setting = "400 processes, one order in 10 s, while so many writers of one entry each are remembered";
     let mut origins = Axis::new("one order by writers remembered", "writers", setting);
     for count in sizes.of(&ORIGINS) {
         let plays = by_seed(sizes, |seed| order_among_origins(ORIGIN_PROCESSES, count, seed));
         plays.iter().for_each(|it| add_changed(&mut origins, count, it));
     }
+    let setting =
+        "100 processes, one is killed and starts with nothing while so many writers are remembered; 10 s";
+    let mut starts = Axis::new("one start by writers remembered", "writers", setting);
+    for count in sizes.of(&ORIGINS) {
+        let plays = by_seed(sizes, |seed| start_among_origins(START_PROCESSES, count, seed));
+        plays.iter().for_each(|it| add_changed(&mut starts, count, it));
+    }
     let setting = "every process hears of one member's drain from its own list within 100 ms, and tells the others; 10 s";
     let mut heard = Axis::new("one drain heard by all", "processes", setting);
     for count in sizes.usual() {
         let plays = by_seed(sizes, |seed| drain_heard_by_all(count, seed));
         plays.iter().for_each(|it| add_changed(&mut heard, count, it));
     }
-    vec![rates.fitted(), origins.fitted(), heard.fitted()]
+    vec![rates.fitted(), origins.fitted(), starts.fitted(), heard.fitted()]
 }
 
 fn add_changed(axis: &mut Axis, x: usize, changed: &Changed) {
--- a/crates/rig/src/capacity/stand_in.rs
+++ b/crates/rig/src/capacity/stand_in.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
+use tokio::sync::oneshot;
 use tokio::task::{spawn_local, LocalSet};
 
 /// Bytes of an answer's body.
@@ -16,21 +17,32 @@
 /// Addresses in one network of 127.1.n.0.
 const NETWORK: usize = 250;
 
-/// Starts so many members, for as long as this process lives.
-pub fn stand_ins(count: usize) -> Vec<SocketAddr> {
-    let port = free_addresses(1)[0].port();
-    let address = |n: usize| {
-        let ip = Ipv4Addr::new(127, 1, (n / NETWORK) as u8, (n % NETWORK + 1) as u8);
-        SocketAddr::new(IpAddr::V4(ip), port)
-    };
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|n| TcpListener::bind(address(n)).expect("a loopback address with a free port"))
-        .collect();
-    thread::spawn(move || serve(listeners));
-    (0..count).map(address).collect()
+/// Members that listen until this is dropped.
+pub struct StandIns {
+    /// Where they listen.
+    pub addresses: Vec<SocketAddr>,
+    _stop: oneshot::Sender<()>,
 }
 
-fn serve(listeners: Vec<TcpListener>) {
+impl StandIns {
+    /// Starts so many.
+    pub fn start(count: usize) -> StandIns {
+        let port = free_addresses(1)[0].port();
+        let address = |n: usize| {
+            let ip = Ipv4Addr::new(127, 1, (n / NETWORK) as u8, (n % NETWORK + 1) as u8);
+            SocketAddr::new(IpAddr::V4(ip), port)
+        };
+        let listeners: Vec<TcpListener> = (0..count)
+            .map(|n| TcpListener::bind(address(n)).expect("a loopback address with a free port"))
+            .collect();
+        let (stop, stopped) = oneshot::channel();
+        thread::spawn(move || serve(listeners, stopped));
+        StandIns { addresses: (0..count).map(address).collect(), _stop: stop }
+    }
+}
+
+/// Serves until the other end of the channel is gone.
+fn serve(listeners: Vec<TcpListener>, stopped: oneshot::Receiver<()>) {
     let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
     let answer = Rc::new(ok(&"x".repeat(BODY)).into_bytes());
     LocalSet::new().block_on(&runtime, async move {
@@ -44,7 +56,7 @@
                 }
             });
         }
-        std::future::pending::<()>().await;
+        let _ = stopped.await;
     });
 }
 
