--- a/crates/rig/src/capacity/data_plane.rs
+++ b/crates/rig/src/capacity/data_plane.rs
@@ -21,6 +21,7 @@
 const MB: &str = "MB";
 const CORES: &str = "cores";
 const US: &str = "us";
+const MS: &str = "ms";
 
 /// By services, where the proxy sends to all members, and where it is one of 1,500 and sends to some of them.
 pub fn pools(program: &str, sizes: &Sizes) -> Vec<Axis> {
@@ -65,6 +66,11 @@
     let served = proxy.serve(RATE, SPAN);
     axis.add("processor time a request", US, x, served.cpu_us);
     add_times(axis, x, &direct, &served);
+    for without_last in [true, false] {
+        let reloaded = proxy.reload(without_last);
+        axis.add("a file with another member is in force after", MS, x, reloaded.in_force_ms);
+        axis.add("processor time of reading it", MS, x, reloaded.cpu_ms);
+    }
 }
 
 fn add_times(axis: &mut Axis, x: f64, direct: &Served, served: &Served) {
--- a/crates/rig/src/capacity/report.rs
+++ b/crates/rig/src/capacity/report.rs
@@ -1,6 +1,6 @@
 //! What was measured along the axes: points with all their runs, and what was fitted to them, as JSON and as a table.
 
-use super::fit::{fit, Fit, Shape, RESIDUAL_MOST};
+use super::fit::{fit, Fit, Shape, RESIDUAL_MOST, SCATTER_MOST};
 use serde::Serialize;
 use std::fmt::Write;
 
@@ -127,6 +127,9 @@
         Shape::Line => "a line".to_string(),
         Shape::Power => "not a line: a power".to_string(),
         Shape::Neither => format!("not a line (residual above {RESIDUAL_MOST:.2}), and not a power"),
+        Shape::Scattered => {
+            format!("not told: the runs lie further apart than {SCATTER_MOST:.2} of the mean")
+        }
     };
     format!("{shape}; line: {line_text}; power: {power_text}; scatter {scatter:.3}")
 }
