Make membership whole at 1,500: an own SWIM core with anti-entropy in place of foca

Change: crates/fleet/src/members/: detection (probes, twice a second in a large fleet, retried and through others), dissemination by the logarithm of the size seen now, synchronization (digest in each message, 64 buckets, one-byte fingerprints, then entries), one allowance of bytes for all, a table with the merge rule as (start, life, refutations, state). Packets are DWF3. The module is told the sponsor's size until the own view is whole.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -79,8 +79,8 @@
                 let State { replica, rng, .. } = state;
                 replica.take(now, from, message, rng, &mut out.replica);
             }
-            Body::Members(bytes) => {
-                let (answers, news) = state.members.take(now, &bytes);
+            Body::Members(message) => {
+                let (answers, news) = state.members.take(now, from, message);
                 out.members = answers;
                 state.apply_news(news);
             }
@@ -127,8 +127,8 @@
                 self.send_bytes(state, *address, &bytes);
             }
         }
-        for (to, bytes) in out.members {
-            self.send_body(state, to, Body::Members(bytes));
+        for (to, message) in out.members {
+            self.send_body(state, to, Body::Members(message));
         }
         self.send_replica(state, out.replica);
     }
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -7,7 +7,7 @@
 use dewrun_budgets::{Id, Life, Micros};
 use dewrun_config::Fleet as Config;
 use dewrun_fleet::id_of;
-use dewrun_fleet::members::{Members, News};
+use dewrun_fleet::members::{Members, News, Refused};
 use dewrun_fleet::packet::Reject;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::FxHashMap;
@@ -60,6 +60,7 @@
     at: Micros,
     refused: BTreeMap<String, u64>,
     rejected: Rejected,
+    refused_members: Refused,
     has_rival: bool,
 }
 
@@ -109,12 +110,11 @@
 
     /// Which of how many processes this is, by who is there.
     pub fn place(&mut self, now: Micros) -> Place {
-        let up = self.members.up();
-        let rank = up.iter().position(|m| m.life == self.members.me().life).unwrap_or(0);
-        if up.len() >= self.size.processes || now >= self.size.at + SHRINKS_AFTER {
-            self.size = FleetSize { processes: up.len(), at: now };
+        let processes = self.members.fleet_size();
+        if processes >= self.size.processes || now >= self.size.at + SHRINKS_AFTER {
+            self.size = FleetSize { processes, at: now };
         }
-        Place { rank: rank as u32, processes: self.size.processes.max(1) as u32 }
+        Place { rank: self.members.rank() as u32, processes: self.size.processes.max(1) as u32 }
     }
 
     /// Where packets for a member go: to its address, or to the one that the file has for it.
@@ -142,9 +142,8 @@
     pub fn apply_news(&mut self, news: Vec<News>) {
         if !news.is_empty() {
             let me = self.config.address;
-            let up = self.members.up();
-            self.replica.peers =
-                up.iter().map(|member| member.address).filter(|address| *address != me).collect();
+            let up = self.members.iter_up().map(|member| member.address);
+            self.replica.peers = up.filter(|address| *address != me).collect();
         }
         for news in news {
             match news {
@@ -170,6 +169,7 @@
         self.logged.at = now;
         self.look_for_rival(now);
         self.log_rejected();
+        self.log_refused_members();
         self.log_refused();
     }
 
@@ -190,6 +190,15 @@
         }
     }
 
+    fn log_refused_members(&mut self) {
+        let refused = self.members.refused();
+        if refused != self.logged.refused_members {
+            let Refused { address, name, future, room } = refused;
+            warn!("fleet: claims about members not taken so far: {address} at addresses that can't be reached, {name} of names that too many have or that are too long, {future} from the far future, {room} for want of room");
+            self.logged.refused_members = refused;
+        }
+    }
+
     fn log_rejected(&mut self) {
         if self.rejected != self.logged.rejected {
             let Rejected { no_packet, hash, form } = self.rejected;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,7 +1,7 @@
 //! The processes of a fleet, and what they say to each other. Pure: packets in, packets out, with the process's clock and
 //! chance passed in.
 //!
-//! [`packet`] frames and proves packets, [`members`] knows who is up (SWIM, by the library `foca`). What is said about
+//! [`packet`] frames and proves packets, [`members`] knows who is up (SWIM with anti-entropy). What is said about
 //! budgets is [`dewrun_budgets`]' matter and is only carried here. [`simulate`] plays whole fleets of [`members`] in simulated
 //! time.
 
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -1,256 +1,394 @@
-//! Who is up, by SWIM with suspicion and refutation. The protocol is the library `foca`'s; what stands here is who a member
-//! is, whom to ask first, and what two of one name mean.
-
-use foca::{Foca, Identity, NoCustomBroadcast, Notification, PostcardCodec, Runtime, State, Timer};
-use rand::SeedableRng;
+//! Who is up: SWIM, with anti-entropy beside it. Pure: messages in, messages out, with the process's clock and chance passed in.
+//!
+//! Three things go on beside each other. [`detection`] pings one member after another and suspects those that do not answer
+//! (Das, Gupta, Motivala: SWIM, 2002). [`dissemination`] passes on what is new, as often as the logarithm of the fleet's size
+//! asks for. [`synchronization`] compares whole views by digest and sends what differs, so that a view becomes whole whatever
+//! was lost. All that is sent is paid from one [`Allowance`], so a fleet that starts at once keeps within its bytes.
+//! What is held of each member, and which claim outranks which, is the [`table`]'s matter.
+
+mod detection;
+mod dissemination;
+mod member;
+mod message;
+mod synchronization;
+mod table;
+
+pub use member::{LifeTag, Member, News, Standing};
+pub use message::{Body, Claim, Compare, Entries, Message, Packets, Update, HEAD_BYTES};
+pub use table::Refused;
+
+use detection::Detection;
+use dissemination::Dissemination;
+use message::Allowance;
+use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use serde::{Deserialize, Serialize};
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::net::SocketAddr;
-use std::num::NonZeroU32;
-use std::time::Duration;
+use synchronization::Synchronization;
+use table::{Table, Verdict};
 
 /// A time on the process's own clock, in microseconds.
 pub type Micros = dewrun_budgets::Micros;
 
-/// One process, in one of its lives.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    /// Where others reach it.
-    pub address: SocketAddr,
-    /// Its name.
-    pub name: String,
-    /// The site it stands in; empty if none is told.
-    pub site: String,
-    /// When it started, in Unix milliseconds, by its own clock.
-    pub started_ms: u64,
-    /// A number that no other life has.
-    pub life: u64,
-    /// How often it came back after it was thought to be down.
-    pub renewed: u32,
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000 * MS;
+
+/// What may be sent at once, in bytes, and what comes in again a second. Over any ten seconds that is 103 kB, of which the reserves of all parts stay unspent.
+const SEND_BURST: f64 = 36_000.0;
+const SEND_PER_S: f64 = 6_700.0;
+/// What may be asked for at once, and a second.
+const RECEIVE_BURST: f64 = 66_000.0;
+const RECEIVE_PER_S: f64 = 3_000.0;
+/// How long a process that has started, or changed its life, introduces itself in full.
+const INTRODUCES_FOR: Micros = 10 * SECOND;
+/// Where this much has passed between two looks at the clock, the process did not run, and heard nobody.
+const STALLED_AFTER: Micros = 2 * SECOND;
+/// How often the dead of long ago are looked for.
+const FORGET_EVERY: Micros = 60 * SECOND;
+/// A life that is outranked by an older one of its own address raises its start above that, this often at the most.
+const REBORN_EVERY: Micros = SECOND;
+
+/// What one call gives: what to send, and what has happened.
+#[derive(Default)]
+struct Effects {
+    packets: Packets,
+    news: Vec<News>,
 }
 
-impl Member {
-    /// What tells the later of two lives.
-    fn incarnation(&self) -> (u64, u64, u32) {
-        (self.started_ms, self.life, self.renewed)
-    }
-
-    fn somebody_at(address: SocketAddr) -> Member {
-        Member { address, name: String::new(), site: String::new(), started_ms: 0, life: 0, renewed: 0 }
-    }
+/// See the module's text.
+pub struct Members {
+    me: Member,
+    seeds: Vec<SocketAddr>,
+    rng: Xoshiro256PlusPlus,
+    table: Table,
+    detection: Detection,
+    dissemination: Dissemination,
+    synchronization: Synchronization,
+    sending: Allowance,
+    receiving: Allowance,
+    introduced_until: Micros,
+    reborn_at: Option<Micros>,
+    ticked_at: Micros,
+    forget_at: Micros,
+    is_leaving: bool,
 }
 
-impl Identity for Member {
-    type Addr = SocketAddr;
-
-    fn renew(&self) -> Option<Member> {
-        Some(Member { renewed: self.renewed.wrapping_add(1), ..self.clone() })
+impl Members {
+    /// A process that starts now and asks these first.
+    pub fn new(now: Micros, me: Member, seeds: &[SocketAddr], seed: u64) -> Members {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        Members {
+            table: Table::new(&me),
+            detection: Detection::new(now, rng.random()),
+            dissemination: Dissemination::new(now),
+            synchronization: Synchronization::new(now, rng.random()),
+            sending: Allowance::new(now, SEND_BURST, SEND_PER_S),
+            receiving: Allowance::new(now, RECEIVE_BURST, RECEIVE_PER_S),
+            introduced_until: now + INTRODUCES_FOR,
+            reborn_at: None,
+            ticked_at: now,
+            forget_at: now + FORGET_EVERY,
+            is_leaving: false,
+            seeds: seeds.to_vec(),
+            me,
+            rng,
+        }
     }
 
-    fn addr(&self) -> SocketAddr {
-        self.address
+    /// This process.
+    pub fn me(&self) -> &Member {
+        &self.me
     }
 
-    fn win_addr_conflict(&self, adversary: &Member) -> bool {
-        self.incarnation() > adversary.incarnation()
+    /// Those that are asked first, from another file.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.seeds = seeds.to_vec();
     }
-}
-
-/// How a member is doing, as far as it is known here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Standing {
-    /// It answers.
-    Up,
-    /// It does not, and has not said otherwise yet.
-    Suspected,
-    /// It has left, or is taken for dead.
-    Left,
-}
 
-/// What has happened.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum News {
-    /// One came up.
-    Up(Member),
-    /// One has left, or is taken for dead.
-    Down(Member),
-}
+    /// Does what is due.
+    pub fn tick(&mut self, now: Micros) -> (Packets, Vec<News>) {
+        let mut effects = Effects::default();
+        if self.is_leaving {
+            return (effects.packets, effects.news);
+        }
+        if now.saturating_sub(self.ticked_at) > STALLED_AFTER {
+            self.detection.forget_probes();
+            self.table.extend_suspicions(now + self.suspicion_time());
+        }
+        self.ticked_at = now;
+        self.table.give_up_due(now, &mut effects.news);
+        self.probe_due(now, &mut effects);
+        self.gossip_due(now, &mut effects);
+        self.synchronize_due(now, &mut effects);
+        if now >= self.forget_at {
+            self.forget_at = now + FORGET_EVERY;
+            self.table.forget_old(now);
+        }
+        (effects.packets, effects.news)
+    }
 
-#[derive(Default)]
-struct Outbox {
-    packets: Vec<(SocketAddr, Vec<u8>)>,
-    timers: Vec<(Duration, Timer<Member>)>,
-    news: Vec<News>,
-}
+    /// When [`Members::tick`] has something to do next.
+    pub fn next_due(&self) -> Micros {
+        let parts = [
+            self.detection.next_due(),
+            self.dissemination.next_due(),
+            self.synchronization.next_due(),
+            self.forget_at,
+        ];
+        parts.into_iter().chain(self.table.next_due()).min().unwrap_or(self.forget_at)
+    }
 
-impl Runtime<Member> for &mut Outbox {
-    fn notify(&mut self, notification: Notification<'_, Member>) {
-        match notification {
-            Notification::MemberUp(member) => self.news.push(News::Up(member.clone())),
-            Notification::MemberDown(member) => self.news.push(News::Down(member.clone())),
-            _ => {}
+    /// Takes a message in.
+    pub fn take(&mut self, now: Micros, from: SocketAddr, message: Message) -> (Packets, Vec<News>) {
+        let mut effects = Effects::default();
+        if from == self.me.address || self.is_leaving {
+            return (effects.packets, effects.news);
         }
+        self.receiving.spend(now, message.size() + HEAD_BYTES);
+        let accusation = self.hear_sender(now, from, &message, &mut effects);
+        self.compare_views(now, from, message.view, &mut effects);
+        self.act_on(now, from, message.body, accusation, &mut effects);
+        (effects.packets, effects.news)
     }
 
-    fn send_to(&mut self, to: Member, data: &[u8]) {
-        self.packets.push((to.address, data.to_vec()));
+    /// Says that this process leaves.
+    pub fn leave(&mut self, now: Micros) -> Packets {
+        /// So many are told; they pass it on.
+        const TOLD: usize = 8;
+        let mut effects = Effects::default();
+        for to in self.some_live(TOLD, None) {
+            let left = Update::brief(&self.me, Claim::Left);
+            self.send(now, to, Body::Gossip(vec![left]), &mut effects);
+        }
+        self.is_leaving = true;
+        effects.packets
     }
 
-    fn submit_after(&mut self, event: Timer<Member>, after: Duration) {
-        self.timers.push((after, event));
+    /// All that is known, this process first.
+    pub fn all(&self) -> Vec<(Member, Standing)> {
+        let others = self.table.iter().filter(|(member, _)| member.address != self.me.address);
+        let others = others.map(|(member, standing)| (member.clone(), standing));
+        std::iter::once((self.me.clone(), Standing::Up)).chain(others).collect()
     }
-}
 
-struct Due(Micros, u64, Timer<Member>);
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Due) -> bool {
-        (self.0, self.1) == (other.0, other.1)
+    /// Those that are up, this process included, in an order that is the same at all of them.
+    pub fn up(&self) -> Vec<&Member> {
+        let mut up: Vec<&Member> = self.iter_up().collect();
+        up.sort_by(|a, b| (&a.name, a.address).cmp(&(&b.name, b.address)));
+        up
     }
-}
 
-impl Eq for Due {}
+    /// The same in no order.
+    pub fn iter_up(&self) -> impl Iterator<Item = &Member> {
+        let others = self.table.live().iter().filter_map(|address| self.table.get(*address));
+        std::iter::once(&self.me).chain(others.map(|held| &held.member))
+    }
 
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Due) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
+    /// The place of this process in the order of [`Members::up`], from 0.
+    pub fn rank(&self) -> usize {
+        let own = (&self.me.name, self.me.address);
+        self.iter_up().filter(|member| (&member.name, member.address) < own).count()
     }
-}
 
-impl Ord for Due {
-    fn cmp(&self, other: &Due) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
+    /// How many processes the fleet has: those that are up, or what others have told while this process has not yet heard of
+    /// all. One that starts must not take a larger part of what all share than is its own.
+    pub fn fleet_size(&self) -> usize {
+        let up = self.table.live().len() + 1;
+        up.max(self.synchronization.told_size())
     }
-}
 
-/// How often those of the file that are not up are asked.
-const ANNOUNCE: Micros = 500_000;
-/// The most members that are kept account of, those that have left included.
-const MEMBERS_MOST: usize = 10_000;
+    /// Whether this process has heard of all that another knew.
+    pub fn is_caught_up(&self) -> bool {
+        self.synchronization.is_caught_up()
+    }
 
-/// See the module's text.
-pub struct Members {
-    foca: Foca<Member, PostcardCodec, Xoshiro256PlusPlus, NoCustomBroadcast>,
-    seeds: Vec<SocketAddr>,
-    timers: BinaryHeap<Reverse<Due>>,
-    next: u64,
-    announce_at: Micros,
-    at: usize,
-}
+    /// Claims that were not taken.
+    pub fn refused(&self) -> Refused {
+        self.table.refused
+    }
 
-/// What is to be sent, to whom.
-pub type Packets = Vec<(SocketAddr, Vec<u8>)>;
+    /// The later life of another process that has this one's name.
+    pub fn rival(&self) -> Option<&Member> {
+        let is_rival = |member: &&Member| {
+            member.name == self.me.name
+                && member.address != self.me.address
+                && (member.birth(), member.renewed) > (self.me.birth(), self.me.renewed)
+        };
+        self.iter_up().find(is_rival)
+    }
 
-impl Members {
-    /// A process that starts now and asks these first.
-    pub fn new(now: Micros, me: Member, seeds: &[SocketAddr], seed: u64) -> Members {
-        let size = NonZeroU32::new(seeds.len().max(8) as u32).unwrap_or(NonZeroU32::MIN);
-        let mut config = foca::Config::new_lan(size);
-        config.probe_rtt = Duration::from_millis(300);
-        // One that left keeps its place for as long as news of it may be on its way.
-        config.remove_down_after = Duration::from_secs(120);
-        if let Some(params) = &mut config.periodic_announce_to_down_members {
-            params.frequency = Duration::from_secs(5);
+    // ---- what is heard ----
+
+    /// Learns from who has sent a message; gives what is to be told to a sender that is suspected, or was given up.
+    fn hear_sender(
+        &mut self,
+        now: Micros,
+        from: SocketAddr,
+        message: &Message,
+        effects: &mut Effects,
+    ) -> Option<Update> {
+        if let Some(member) = message.introduction.as_ref().filter(|member| member.address == from) {
+            let verdict = self.learn(now, Update::Full(member.clone()), effects);
+            if verdict == Verdict::New && self.table.live().len() == 1 {
+                self.first_is_known(now);
+            }
+            if verdict == Verdict::Outranked {
+                self.correct(now, from, member, effects);
+            }
         }
-        let rng = Xoshiro256PlusPlus::seed_from_u64(seed);
-        Members {
-            foca: Foca::new(me, config, rng, PostcardCodec),
-            seeds: seeds.to_vec(),
-            timers: BinaryHeap::new(),
-            next: 0,
-            announce_at: now,
-            at: 0,
+        let held = self.table.get(from).filter(|held| held.member.tag() == message.life);
+        let refuted = held.is_some_and(|held| held.member.renewed < message.renewed);
+        // What this process takes back at once, others may believe still.
+        let accusation = held.filter(|_| !refuted).and_then(|held| held.accusation(now));
+        let times = (now, now + self.suspicion_time());
+        let sender = (from, message.life);
+        let verdict = self.table.heard(sender, message.renewed, times, &mut effects.news);
+        match verdict {
+            // Others may not hear it themselves.
+            Verdict::Changed if refuted => self.dissemination.push(Update::Brief {
+                address: from,
+                life: message.life,
+                renewed: message.renewed,
+                claim: Claim::Alive,
+            }),
+            // One that answers with entries is among them.
+            Verdict::Unknown
+                if message.introduction.is_none()
+                    && !matches!(message.body, Body::WhoAreYou | Body::Entries(_)) =>
+            {
+                self.send(now, from, Body::WhoAreYou, effects);
+                return None;
+            }
+            _ => {}
         }
+        accusation
     }
 
-    /// This process.
-    pub fn me(&self) -> &Member {
-        self.foca.identity()
-    }
-
-    /// Those that are asked first, from another file.
-    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
-        self.seeds = seeds.to_vec();
+    fn act_on(
+        &mut self,
+        now: Micros,
+        from: SocketAddr,
+        body: Body,
+        accusation: Option<Update>,
+        effects: &mut Effects,
+    ) {
+        let mut accusation = accusation;
+        match body {
+            Body::Ping { sequence, updates } => {
+                self.learn_all(now, updates, effects);
+                let updates = accusation.take().into_iter().chain(self.piggyback(now)).collect();
+                self.send(now, from, Body::Ack { sequence, updates }, effects);
+            }
+            Body::PingRequest { sequence, target } => self.ping_for(now, (from, sequence), target, effects),
+            Body::Ack { sequence, updates } => {
+                self.learn_all(now, updates, effects);
+                self.acknowledged(now, sequence, effects);
+            }
+            Body::Gossip(updates) => self.learn_all(now, updates, effects),
+            Body::WhoAreYou => {
+                self.introduced_until = self.introduced_until.max(now + MS);
+                self.send(now, from, Body::Gossip(Vec::new()), effects);
+            }
+            Body::Buckets(digests) => self.answer_buckets(now, from, &digests, effects),
+            Body::Compare(compare) => self.answer_compare(now, from, &compare, effects),
+            Body::Entries(entries) => self.take_entries(now, from, entries, effects),
+        }
+        if let Some(update) = accusation {
+            self.send(now, from, Body::Gossip(vec![update]), effects);
+        }
     }
 
-    /// Takes the members' part of a packet in. What can't be read changes nothing.
-    pub fn take(&mut self, now: Micros, bytes: &[u8]) -> (Packets, Vec<News>) {
-        if self.foca.iter_membership_state().len() >= MEMBERS_MOST {
-            // A fleet this large is none; what is known stays.
-            return (Vec::new(), Vec::new());
+    fn learn_all(&mut self, now: Micros, updates: Vec<Update>, effects: &mut Effects) {
+        for update in updates {
+            self.learn(now, update, effects);
         }
-        let mut out = Outbox::default();
-        // An error says that the bytes were no good, and no more.
-        let _ = self.foca.handle_data(bytes, &mut out);
-        self.carry(now, out)
     }
 
-    /// Does what is due.
-    pub fn tick(&mut self, now: Micros) -> (Packets, Vec<News>) {
-        let mut out = Outbox::default();
-        while self.timers.peek().is_some_and(|Reverse(due)| due.0 <= now) {
-            let Some(Reverse(Due(_, _, timer))) = self.timers.pop() else { break };
-            let _ = self.foca.handle_timer(timer, &mut out);
+    /// Takes in what another says of a member, and passes it on if it is new.
+    fn learn(&mut self, now: Micros, update: Update, effects: &mut Effects) -> Verdict {
+        if update.address() == self.me.address {
+            self.hear_of_self(now, &update);
+            return Verdict::Same;
         }
-        if now >= self.announce_at {
-            self.announce_at = now + ANNOUNCE;
-            let own = self.me().address;
-            let up: Vec<SocketAddr> = self.foca.iter_members().map(|m| m.id().address).collect();
-            let missing = self.seeds.iter().filter(|seed| **seed != own && !up.contains(seed));
-            let missing: Vec<SocketAddr> = missing.copied().collect();
-            // All of them while nobody is known, and else in turn.
-            let asked = if up.is_empty() { missing.len() } else { 1.min(missing.len()) };
-            for n in 0..asked {
-                let seed = missing[(self.at + n) % missing.len()];
-                let _ = self.foca.announce(Member::somebody_at(seed), &mut out);
+        let times = (now, now + self.suspicion_time());
+        let news = &mut effects.news;
+        let verdict = match update.clone() {
+            Update::Full(member) => self.table.claim(member, Claim::Alive, times, news),
+            Update::Brief { address, life, renewed, claim } => {
+                self.table.claim_brief((address, life), (renewed, claim), times, news)
+            }
+        };
+        match (verdict, update) {
+            // While this process catches up, most that is new to it is not new to others.
+            (Verdict::New, update) if self.is_caught_up() => self.dissemination.push(update),
+            (Verdict::Changed, Update::Full(member)) => {
+                self.dissemination.push(Update::brief(&member, Claim::Alive));
             }
-            self.at = self.at.wrapping_add(asked);
+            (Verdict::Changed, Update::Brief { address, life, renewed, claim }) => {
+                let claim = if claim == Claim::Dead { Claim::Suspect } else { claim };
+                self.dissemination.push(Update::Brief { address, life, renewed, claim });
+            }
+            _ => {}
         }
-        self.carry(now, out)
+        verdict
     }
 
-    /// Says that this process leaves.
-    pub fn leave(&mut self, now: Micros) -> Packets {
-        let mut out = Outbox::default();
-        let _ = self.foca.leave_cluster(&mut out);
-        self.carry(now, out).0
+    /// Tells the sender of an outranked life what is held in its place.
+    fn correct(&mut self, now: Micros, from: SocketAddr, outranked: &Member, effects: &mut Effects) {
+        let Some(held) = self.table.get(outranked.address) else { return };
+        if held.member.birth() != outranked.birth() {
+            let update = Update::Full(held.member.clone());
+            self.send(now, from, Body::Gossip(vec![update]), effects);
+        }
     }
 
-    fn carry(&mut self, now: Micros, out: Outbox) -> (Packets, Vec<News>) {
-        for (after, timer) in out.timers {
-            self.next += 1;
-            self.timers.push(Reverse(Due(now + after.as_micros() as Micros, self.next, timer)));
+    /// Refutes what is said of this process, if it is not so.
+    fn hear_of_self(&mut self, now: Micros, update: &Update) {
+        match update {
+            Update::Brief { life, renewed, claim: Claim::Suspect | Claim::Dead, .. }
+                if *life == self.me.tag() && *renewed >= self.me.renewed =>
+            {
+                self.me.renewed = renewed.saturating_add(1);
+                self.table.set_own(&self.me);
+                self.dissemination.push(Update::brief(&self.me, Claim::Alive));
+            }
+            Update::Full(member) if member.birth() > self.me.birth() => self.outbid(now, member),
+            _ => {}
         }
-        (out.packets, out.news)
     }
 
-    /// All that is known, this process first.
-    pub fn all(&self) -> Vec<(Member, Standing)> {
-        let me = (self.me().clone(), Standing::Up);
-        let others = self.foca.iter_membership_state().filter(|m| m.id().address != self.me().address);
-        let standing = |state| match state {
-            State::Alive => Standing::Up,
-            State::Suspect => Standing::Suspected,
-            State::Down => Standing::Left,
-        };
-        std::iter::once(me).chain(others.map(|m| (m.id().clone(), standing(m.state())))).collect()
+    /// Another life holds this process's address, and claims to have started later: an earlier life whose clock was ahead. The
+    /// life that is at the address is this one.
+    fn outbid(&mut self, now: Micros, other: &Member) {
+        if self.reborn_at.is_some_and(|at| now < at + REBORN_EVERY) || !self.table.is_believable(other) {
+            return;
+        }
+        self.reborn_at = Some(now);
+        self.me.started_ms = other.started_ms + 1;
+        self.me.renewed = 0;
+        self.table.set_own(&self.me);
+        self.introduced_until = now + INTRODUCES_FOR;
+        self.dissemination.push(Update::Full(self.me.clone()));
     }
 
-    /// Those that are up, this process included, in an order that is the same at all of them.
-    pub fn up(&self) -> Vec<&Member> {
-        let mut up: Vec<&Member> = self.foca.iter_members().map(|m| m.id()).collect();
-        up.push(self.me());
-        up.sort_by(|a, b| (&a.name, a.address).cmp(&(&b.name, b.address)));
-        up
+    // ---- what is sent ----
+
+    fn send(&mut self, now: Micros, to: SocketAddr, body: Body, effects: &mut Effects) {
+        let introduces = now < self.introduced_until && !matches!(body, Body::WhoAreYou | Body::Entries(_));
+        let message = Message {
+            life: self.me.tag(),
+            renewed: self.me.renewed,
+            view: self.table.view(),
+            introduction: introduces.then(|| self.me.clone()),
+            body,
+        };
+        self.sending.spend(now, message.size() + HEAD_BYTES);
+        effects.packets.push((to, message));
     }
 
-    /// The later life of another process that has this one's name.
-    pub fn rival(&self) -> Option<&Member> {
-        let me = self.me();
-        let same = |m: &&Member| m.name == me.name && m.address != me.address;
-        self.foca.iter_members().map(|m| m.id()).filter(same).find(|m| m.incarnation() > me.incarnation())
+    /// Some of those that are up, each another, by chance.
+    fn some_live(&mut self, most: usize, but: Option<SocketAddr>) -> Vec<SocketAddr> {
+        let live = self.table.live();
+        let places = rand::seq::index::sample(&mut self.rng, live.len(), live.len().min(most + 1));
+        places.into_iter().map(|at| live[at]).filter(|address| Some(*address) != but).take(most).collect()
     }
 }
--- a/crates/fleet/src/packet.rs
+++ b/crates/fleet/src/packet.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 /// The first bytes of every packet: this protocol in this version.
-const MAGIC: [u8; 4] = *b"DWF2";
+const MAGIC: [u8; 4] = *b"DWF3";
 const HASH: usize = 16;
 /// The largest packet that is made or taken: it fits a path of 1,500 bytes with all headers.
 pub const MOST: usize = 1_400;
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Body {
     /// Of who is up.
-    Members(Vec<u8>),
+    Members(crate::members::Message),
     /// Of budgets.
     Budgets(Vec<Message>),
     /// Of what all hold alike.
