Give up sooner whom another has given up; ask for less at once

Seen: a process that missed a suspicion learned of it by comparison, after 2 s, and waited 5.3 s more for a refutation that the other had waited for already. To blame: Table::claim_of_known, one time for both claims. Now 2 s, and the next probe goes to the member; updates go out twice more; a view that differs is compared after 1.5 s.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -36,8 +36,8 @@
 const SEND_BURST: f64 = 36_000.0;
 const SEND_PER_S: f64 = 6_700.0;
 /// What may be asked for at once, and a second.
-const RECEIVE_BURST: f64 = 66_000.0;
-const RECEIVE_PER_S: f64 = 3_000.0;
+const RECEIVE_BURST: f64 = 59_000.0;
+const RECEIVE_PER_S: f64 = 3_500.0;
 /// How long a process that has started, or changed its life, introduces itself in full.
 const INTRODUCES_FOR: Micros = 10 * SECOND;
 /// Where this much has passed between two looks at the clock, the process did not run, and heard nobody.
@@ -324,7 +324,11 @@
                 self.dissemination.push(Update::brief(&member, Claim::Alive));
             }
             (Verdict::Changed, Update::Brief { address, life, renewed, claim }) => {
-                let claim = if claim == Claim::Dead { Claim::Suspect } else { claim };
+                let is_given_up = claim == Claim::Dead;
+                if is_given_up {
+                    self.detection.probe_next(address);
+                }
+                let claim = if is_given_up { Claim::Suspect } else { claim };
                 self.dissemination.push(Update::Brief { address, life, renewed, claim });
             }
             _ => {}
--- a/crates/fleet/src/members/detection.rs
+++ b/crates/fleet/src/members/detection.rs
@@ -94,6 +94,11 @@
         self.probes.clear();
     }
 
+    /// Has the next probe go to a member.
+    pub(super) fn probe_next(&mut self, address: SocketAddr) {
+        self.round.push(address);
+    }
+
     fn sequence(&mut self) -> u32 {
         self.next_sequence = self.next_sequence.wrapping_add(1);
         self.next_sequence
--- a/crates/fleet/src/members/dissemination.rs
+++ b/crates/fleet/src/members/dissemination.rs
@@ -76,7 +76,7 @@
     /// How often an update goes out: enough that all hear of it with near certainty, whatever the size.
     fn most_sent(&self) -> u32 {
         let size = self.table.live().len() + 2;
-        (size as f64).ln().ceil() as u32 + 3
+        (size as f64).ln().ceil() as u32 + 5
     }
 
     /// Updates to go with a ping or its answer.
--- a/crates/fleet/src/members/synchronization.rs
+++ b/crates/fleet/src/members/synchronization.rs
@@ -24,7 +24,7 @@
 const PAUSE_PART_LEAST: f64 = 0.1;
 /// How long another's view may differ before it is compared, in a process that has learned nothing from a comparison of late:
 /// what is new is passed on meanwhile.
-const PATIENCE: Micros = 2 * SECOND;
+const PATIENCE: Micros = 1_500 * MS;
 const OF_LATE: Micros = 10 * SECOND;
 /// A process that starts waits up to this long before it asks.
 const START_SPREAD: Micros = 150 * MS;
--- a/crates/fleet/src/members/table.rs
+++ b/crates/fleet/src/members/table.rs
@@ -21,6 +21,8 @@
 /// For how long a member that was given up stays so against the word of others that it is up, in the same incarnation. All that
 /// hear of a death act on it within this time; who names the member as up later has heard of it since.
 pub(super) const DEAD_FOR_CERTAIN: Micros = 60_000_000;
+/// How long one has that another has given up: the other has waited for its refutation already, and this process asks it itself.
+const GIVEN_UP_ELSEWHERE: Micros = 2_000_000;
 /// For how long a member that was given up is remembered, to be asked again, and one that has left.
 const DEAD_KEPT: Micros = 24 * 3_600_000_000;
 const LEFT_KEPT: Micros = 3_600_000_000;
@@ -242,7 +244,8 @@
         let Some(held) = self.held.get(&address) else { return Verdict::Unknown };
         let claimed = match claim {
             Claim::Alive => State::Alive,
-            Claim::Suspect | Claim::Dead => State::Suspect(give_up_at),
+            Claim::Suspect => State::Suspect(give_up_at),
+            Claim::Dead => State::Suspect(give_up_at.min(now + GIVEN_UP_ELSEWHERE)),
             Claim::Left => State::Left(now),
         };
         let known = held.member.renewed;
