--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -1,10 +1,10 @@
 //! Who is up: SWIM, with anti-entropy beside it. Pure: messages in, messages out, with the process's clock and chance passed in.
 //!
-//! Three things go on beside each other. [`detection`] pings one member after another and suspects those that do not answer
-//! (Das, Gupta, Motivala: SWIM, 2002). [`dissemination`] passes on what is new, as often as the logarithm of the fleet's size
-//! asks for. [`synchronization`] compares whole views by digest and sends what differs, so that a view becomes whole whatever
-//! was lost. All that is sent is paid from one [`Allowance`], so a fleet that starts at once keeps within its bytes.
-//! What is held of each member, and which claim outranks which, is the [`table`]'s matter.
+//! Three things go on beside each other. `detection` pings one member after another and suspects those that do not answer
+//! (Das, Gupta, Motivala: SWIM, 2002). `dissemination` passes on what is new, as often as the logarithm of the fleet's size
+//! asks for. `synchronization` compares whole views by digest and sends what differs, so that a view becomes whole whatever
+//! was lost. All that is sent is paid from one `Allowance`, so a fleet that starts at once keeps within its bytes.
+//! What is held of each member, and which claim outranks which, is the `table`'s matter.
 
 mod detection;
 mod dissemination;
--- a/crates/rig/src/capacity/membership.rs
+++ b/crates/rig/src/capacity/membership.rs
@@ -1,38 +1,38 @@
-//! What membership costs each process by the size of the fleet. The figures come from a simulation of its own; until one is
-//! wired in [`measure`], the axis says that it was not measured.
+//! What membership costs each process by the size of the fleet, in simulated time.
 
 use super::report::Axis;
 use super::Sizes;
+use dewrun_fleet::simulate::{play, Case, Settings, Stage};
 
-/// What one process of a fleet of some size sends and works for membership at rest.
-#[derive(Clone, Copy, Debug)]
-pub struct MembershipCost {
-    /// Bytes a second that each sends, in the mean.
-    pub bytes_per_s: f64,
-    /// The most bytes that one sent in 10 s.
-    pub most_in_10_s: f64,
-    /// Processor time of each, in microseconds a second.
-    pub cpu_us_per_s: f64,
-}
-
-/// Plays a fleet of so many processes at rest; `None` while there is nothing to play it with.
-fn measure(_processes: usize, _seed: u64) -> Option<MembershipCost> {
-    None
-}
-
-/// Membership at rest, by processes.
+/// Membership where all start at once and then rest, by processes.
 pub fn membership(sizes: &Sizes) -> Vec<Axis> {
-    let mut axis = Axis::new("membership by processes", "processes", "at rest, nothing lost");
-    for count in sizes.usual() {
-        for cost in (1..=sizes.runs as u64).filter_map(|seed| measure(count, seed)) {
-            let x = count as f64;
-            axis.add("each sends at rest", "bytes/s", x, cost.bytes_per_s);
-            axis.add("the most that one sends in 10 s", "bytes", x, cost.most_in_10_s);
-            axis.add("each works", "us/s", x, cost.cpu_us_per_s);
+    let mut axis = Axis::new("membership by processes", "processes", "all start at once, nothing lost");
+    for processes in sizes.usual() {
+        for seed in 1..=sizes.runs as u64 {
+            let outcome = play(Case::StartAtOnce, Settings { processes, seed, loss: 0.0 });
+            outcome.stages.iter().for_each(|stage| add(&mut axis, processes as f64, stage));
         }
     }
-    if axis.series.is_empty() {
-        axis = Axis::not_measured(axis.name, axis.of, "no simulation of membership is wired in yet");
-    }
     vec![axis.fitted()]
 }
+
+fn add(axis: &mut Axis, processes: f64, stage: &Stage) {
+    if let Some(rest) = stage.moments.last() {
+        axis.add("each sends at rest", "bytes/s", processes, rest.mean_sent);
+    }
+    axis.add(
+        "the most that one sends over 10 s",
+        "bytes/s",
+        processes,
+        stage.rates.most_sent.bytes_per_second,
+    );
+    axis.add(
+        "the most that one receives over 10 s",
+        "bytes/s",
+        processes,
+        stage.rates.most_received.bytes_per_second,
+    );
+    if let Some(whole) = stage.whole_after {
+        axis.add("whole everywhere after", "s", processes, whole as f64 / 1e6);
+    }
+}
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -239,3 +239,17 @@
         }
     }
 }
+
+/// Sparse copies of a large fleet under far more than the tier can do: the budget of each is so small a part of the whole that
+/// what it takes the tier to serve decides.
+#[test]
+fn cold_budgets_hold_over_1500_copies_at_twenty_times_the_load() {
+    let tier = Tier { warm: WARM, capacity: CAPACITY, load: 20.0 };
+    let calm =
+        Spread { copies: 1_500, even: true, burst_after: None, restarts: false, told: 1_500, stay: WARM };
+    for seed in 0..3 {
+        let sent_at = play_restarting(calm, tier, seed, |_| None);
+        let (count, most) = fullest_window(&sent_at, tier.capacity);
+        assert!(count as f64 <= most, "seed {seed}: {count} in the fullest window, {most:.1} allowed");
+    }
+}
