Probe a member that comes in the middle of a round within it

To blame: Detection::round was filled from those known at its beginning alone. One that comes up takes a place in the round by chance.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -123,7 +123,7 @@
             self.forget_at = now + FORGET_EVERY;
             self.table.forget_old(now);
         }
-        (effects.packets, effects.news)
+        self.finish(effects)
     }
 
     /// When [`Members::tick`] has something to do next.
@@ -147,6 +147,16 @@
         let accusation = self.hear_sender(now, from, &message, &mut effects);
         self.compare_views(now, from, message.view, &mut effects);
         self.act_on(now, from, message.body, accusation, &mut effects);
+        self.finish(effects)
+    }
+
+    /// Gives what one call has come to; whoever came up is probed from now on.
+    fn finish(&mut self, effects: Effects) -> (Packets, Vec<News>) {
+        for news in &effects.news {
+            if let News::Up(member) = news {
+                self.detection.add_to_round(member.address, &mut self.rng);
+            }
+        }
         (effects.packets, effects.news)
     }
 
--- a/crates/fleet/src/members/detection.rs
+++ b/crates/fleet/src/members/detection.rs
@@ -94,6 +94,18 @@
         self.probes.clear();
     }
 
+    /// Takes a member that has come up into the round that is under way, at a place drawn by chance: in a large fleet a round takes
+    /// minutes, and a member that all learn of after its beginning would not be probed by anyone until the next.
+    pub(super) fn add_to_round(&mut self, address: SocketAddr, rng: &mut impl Rng) {
+        if self.round.is_empty() {
+            return;
+        }
+        self.round.push(address);
+        let place = rng.random_range(0..self.round.len());
+        let last = self.round.len() - 1;
+        self.round.swap(place, last);
+    }
+
     /// Has the next probe go to a member.
     pub(super) fn probe_next(&mut self, address: SocketAddr) {
         self.round.push(address);
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -191,7 +191,7 @@
 
 /// The tag that a member gives its own life, as it sends it.
 fn life_of(member: &Member) -> LifeTag {
-    let seeds = [address(9)];
+    let seeds = [address(900)];
     let mut alone = Members::new(0, member.clone(), &seeds, 1);
     let sent = (0..100).find_map(|step| alone.tick(step * 50_000).0.pop());
     sent.expect("it asks the file").1.life
@@ -275,6 +275,41 @@
     assert_eq!(net.up(3), 6);
 }
 
+#[test]
+fn one_that_comes_in_the_middle_of_a_round_is_probed_in_it() {
+    const MANY: usize = 60;
+    let mut members = Members::new(0, member(0, 1_000), &[address(1)], 1);
+    let tags: Vec<LifeTag> = (0..=MANY).map(|n| life_of(&member(n, 1_000))).collect();
+    let says = |n: usize, body| Message {
+        life: tags[n],
+        renewed: 0,
+        view: 0,
+        introduction: Some(member(n, 1_000)),
+        body,
+    };
+    let last = MANY;
+    let mut asked_last = false;
+    (1..last).for_each(|n| drop(members.take(0, address(n), says(n, Body::Gossip(Vec::new())))));
+    for step in 1..2_000 {
+        let now = step * 50_000;
+        // It has made do after 30 s, and is in its first round.
+        if now == 35 * S {
+            members.take(now, address(last), says(last, Body::Gossip(Vec::new())));
+        }
+        for (to, message) in members.tick(now).0 {
+            let n = usize::from(to.port() - 7_100);
+            if let Body::Ping { sequence, .. } = message.body {
+                asked_last |= n == last;
+                members.take(now, to, says(n, Body::Ack { sequence, updates: Vec::new() }));
+            }
+        }
+        // The round began after 30 s and has 59 members, one a second.
+        if now == 85 * S {
+            assert!(asked_last, "it is probed in the round that was under way");
+        }
+    }
+}
+
 proptest! {
     /// Bytes with a right hash, as one who knows the secret could make: an error or a message that does little.
     #[test]
