Take a member into a round of probes only as its place is still to come

To blame: add_to_round put a newcomer in at random among what was left of a round, so all that were at the end of theirs probed it at once. Its place is drawn among all now.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -154,7 +154,8 @@
     fn finish(&mut self, effects: Effects) -> (Packets, Vec<News>) {
         for news in &effects.news {
             if let News::Up(member) = news {
-                self.detection.add_to_round(member.address, &mut self.rng);
+                let live = self.table.live().len();
+                self.detection.add_to_round(member.address, live, &mut self.rng);
             }
         }
         (effects.packets, effects.news)
--- a/crates/fleet/src/members/detection.rs
+++ b/crates/fleet/src/members/detection.rs
@@ -94,16 +94,15 @@
         self.probes.clear();
     }
 
-    /// Takes a member that has come up into the round that is under way, at a place drawn by chance: in a large fleet a round takes
-    /// minutes, and a member that all learn of after its beginning would not be probed by anyone until the next.
-    pub(super) fn add_to_round(&mut self, address: SocketAddr, rng: &mut impl Rng) {
-        if self.round.is_empty() {
-            return;
+    /// Takes a member that has come up into the round that is under way, if its place among all, drawn by chance, is still to come: in
+    /// a large fleet a round takes minutes. One at the end of its round seldom takes it in, or all would probe it at once.
+    pub(super) fn add_to_round(&mut self, address: SocketAddr, live: usize, rng: &mut impl Rng) {
+        let place = rng.random_range(0..live.max(1));
+        if place < self.round.len() {
+            self.round.push(address);
+            let last = self.round.len() - 1;
+            self.round.swap(place, last);
         }
-        self.round.push(address);
-        let place = rng.random_range(0..self.round.len());
-        let last = self.round.len() - 1;
-        self.round.swap(place, last);
     }
 
     /// Has the next probe go to a member.
