--- a/crates/fleet/src/members/detection.rs
+++ b/crates/fleet/src/members/detection.rs
@@ -141,8 +141,7 @@
         }
         if now >= self.detection.seed_at {
             // Those of the file are few, and all that start meet at them.
-            let is_seed = self.seeds.contains(&self.me.address);
-            let askers = if is_seed { self.seeds.len() } else { self.table.live().len() };
+            let askers = if self.is_seed() { self.seeds.len() } else { self.table.live().len() };
             let every = SEED_EVERY * (askers as Micros / 10).max(1);
             self.detection.seed_at = now + self.rng.random_range(every / 2..every * 3 / 2);
             self.ask_one_seed(now, effects);
@@ -248,12 +247,16 @@
         self.ping(now, target, sequence, effects);
     }
 
+    /// Whether this process is one of those in the file.
+    fn is_seed(&self) -> bool {
+        self.seeds.contains(&self.me.address)
+    }
+
     /// Asks the next of those in the file that are not up.
     fn ask_one_seed(&mut self, now: Micros, effects: &mut Effects) {
         let is_missing = |seed: &&SocketAddr| **seed != self.me.address && !self.table.is_up(**seed);
         let missing: Vec<SocketAddr> = self.seeds.iter().filter(is_missing).copied().collect();
-        let is_seed = self.seeds.contains(&self.me.address);
-        if missing.is_empty() || !(is_seed || self.is_caught_up()) {
+        if missing.is_empty() || !(self.is_seed() || self.is_caught_up()) {
             return;
         }
         self.detection.next_seed = self.detection.next_seed.wrapping_add(1);
