--- a/crates/rig/src/hollow/meters.rs
+++ b/crates/rig/src/hollow/meters.rs
@@ -7,6 +7,7 @@
 use dewrun_agent::status::Summary;
 use dewrun_agent::transport::Traffic;
 use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::thread::{self, Scope, ScopedJoinHandle};
 use std::time::{Duration, Instant};
@@ -126,6 +127,7 @@
         joined_s: None,
         grantor: grantor(&readings),
         through,
+        unserved: unserved_by_status(&requests),
         straight,
         processes,
         hollow: views(&hollow, members),
@@ -165,6 +167,19 @@
     run.answered.iter().filter(|(_, status)| *status != Some(200)).count()
 }
 
+/// How many requests through the real processes ended otherwise than with a 200, by what came instead.
+fn unserved_by_status(requests: &[Requests]) -> BTreeMap<String, usize> {
+    let mut by_status = BTreeMap::new();
+    for requests in requests {
+        for (status, count) in requests.through.statuses() {
+            let status = status.map_or("no answer".to_string(), |status| status.to_string());
+            *by_status.entry(status).or_default() += count;
+        }
+    }
+    by_status.remove("200");
+    by_status
+}
+
 fn latency(times: &Histogram<u64>, unserved: usize) -> Latency {
     Latency {
         answered: times.len(),
--- a/crates/rig/src/hollow/report.rs
+++ b/crates/rig/src/hollow/report.rs
@@ -2,6 +2,7 @@
 
 use super::faults::Fault;
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -95,6 +96,8 @@
     pub grantor: Option<SocketAddr>,
     /// Requests through all real processes.
     pub through: Latency,
+    /// What became of those that were not served: how many by status, or `no answer`.
+    pub unserved: BTreeMap<String, usize>,
     /// Requests straight to the upstream beside them.
     pub straight: Latency,
     /// The real processes that were measured.
@@ -162,8 +165,8 @@
                 lines.push(format!("{}: not all real processes saw all members again", phase.name));
             }
             if phase.through.unserved > 0 {
-                let Phase { name, through, .. } = phase;
-                lines.push(format!("{name}: {} requests were not served", through.unserved));
+                let Phase { name, through, unserved, .. } = phase;
+                lines.push(format!("{name}: {} requests were not served: {unserved:?}", through.unserved));
             }
         }
         lines
