Take less from those that begin a comparison with a process that lacks much

To blame: answer_buckets offered its whole allowance to each that asked, and many ask one that lacks much at the same time. It takes 6,000 bytes in one answer from those now; an exchange that it begins itself brings up to 11,000 as before.

--- a/crates/fleet/src/members/synchronization.rs
+++ b/crates/fleet/src/members/synchronization.rs
@@ -57,6 +57,8 @@
 /// Bytes of entries in one packet, and in one answer.
 const PACKET_BYTES: usize = 1_240;
 const ANSWER_BYTES: f64 = 11_000.0;
+/// The most that is taken in one answer from a process that has begun the comparison itself.
+const UNASKED_BYTES: u32 = 6_000;
 /// What is left of the allowance for pings and their like.
 const RESERVE: f64 = 4_000.0;
 /// What is told to one that knows nobody yet: a few entries.
@@ -326,7 +328,9 @@
         if differ == 0 {
             self.send_entries(now, from, Vec::new(), 0.0, effects);
         } else if self.sending.left(now) >= QUESTION_RESERVE {
-            let compare = self.compare_of(now, differ, true);
+            let mut compare = self.compare_of(now, differ, true);
+            // Many may ask one that lacks much, and each would give it all that its allowance has room for.
+            compare.most_bytes = compare.most_bytes.min(UNASKED_BYTES);
             self.send(now, from, Body::Compare(compare), effects);
         }
     }
