Polled discovery: calls at even distances, by one owner of the time budget

Watches end together when discovery goes down; the doubling waits kept all processes in step, so after its return nobody called for 0.5 to 1 s and then most within 2 s.

Change: Watch (crates/discovery) owns the budget of both modes. A failed polled call is followed by one that begins 3.4 to 3.6 s after it began; the first after a watch that worked begins at a random moment of 3.4 s.

--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -6,6 +6,8 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
 
 /// The prefix of all metric names.
 const METRIC_PREFIX: &str = "svc";
@@ -81,6 +83,8 @@
     pub listed: usize,
     /// In the list, and ejected or on probation for every class.
     pub ejected: usize,
+    /// The time since the list was last known to be that of discovery.
+    pub list_age: Duration,
 }
 
 /// The counters and gauges of one process; all start at 0 with the process.
@@ -94,6 +98,7 @@
     outstanding: Gauge,
     listed: Gauge,
     ejected: Gauge,
+    list_age_seconds: Gauge<f64, AtomicU64>,
 }
 
 impl Metrics {
@@ -112,6 +117,7 @@
             outstanding: Gauge::default(),
             listed: Gauge::default(),
             ejected: Gauge::default(),
+            list_age_seconds: Gauge::default(),
         };
         metrics.register_all(results);
         metrics
@@ -151,6 +157,11 @@
             "Listed backends that are avoided",
             self.ejected.clone(),
         );
+        registry.register(
+            "discovery_list_age",
+            "Seconds since the list in use was last known to be current",
+            self.list_age_seconds.clone(),
+        );
     }
 
     /// Counts a request of a class as outstanding until the returned value is dropped.
@@ -187,6 +198,7 @@
     pub fn to_text(&self, endpoints: EndpointCounts) -> String {
         self.listed.set(endpoints.listed as i64);
         self.ejected.set(endpoints.ejected as i64);
+        self.list_age_seconds.set(endpoints.list_age.as_secs_f64());
         let mut text = String::new();
         // Writing into a string does not fail.
         let _ = encode(&mut text, &self.registry);
--- a/crates/admin/tests/golden.rs
+++ b/crates/admin/tests/golden.rs
@@ -3,6 +3,7 @@
 use dewrun_admin::{Disposition, EndpointCounts, Metrics};
 use dewrun_test_support::assert_golden;
 use std::path::Path;
+use std::time::Duration;
 
 #[test]
 fn the_metrics_text_stays_as_it_is() {
@@ -20,6 +21,7 @@
     let text = metrics.to_text(EndpointCounts {
         listed: 9,
         ejected: 2,
+        list_age: Duration::from_millis(1_500),
     });
     drop(open);
     // The order of labelled lines is not told by the format.
--- a/crates/admin/tests/metrics.rs
+++ b/crates/admin/tests/metrics.rs
@@ -1,11 +1,13 @@
 //! Metrics, as they are read.
 
 use dewrun_admin::*;
+use std::time::Duration;
 
 fn lines(metrics: &Metrics) -> Vec<String> {
     let text = metrics.to_text(EndpointCounts {
         listed: 7,
         ejected: 2,
+        list_age: Duration::from_millis(1_500),
     });
     text.lines()
         .filter(|line| !line.starts_with('#'))
@@ -17,7 +19,7 @@
 fn every_line_stands_there_from_the_start() {
     let metrics = Metrics::new(["read", "a \"b\"\\"]);
     let lines = lines(&metrics);
-    assert_eq!(lines.len(), 2 * 3 + 6, "{lines:?}");
+    assert_eq!(lines.len(), 2 * 3 + 7, "{lines:?}");
     for line in [
         "svc_results_total{service=\"read\",disposition=\"succeeded\"} 0",
         "svc_results_total{service=\"a \\\"b\\\"\\\\\",disposition=\"aborted\"} 0",
@@ -25,6 +27,7 @@
         "svc_outstanding 0",
         "svc_discovered 7",
         "svc_ejected 2",
+        "svc_discovery_list_age 1.5",
         "svc_sighup_applied_total 0",
         "svc_sighup_rejected_total 0",
     ] {
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -9,8 +9,9 @@
 //!
 //! - Staleness: once discovery can be reached again, a connected watch exists within
 //!   [`MAX_STALENESS`], whatever failed before and on the way.
-//! - Load: calls that fail in a row are spaced by a jittered exponential backoff, and a watch that
-//!   is silent is replaced rather than joined: at any time there is one call or one watch.
+//! - Load: calls that fail in a row are spaced, by a jittered exponential backoff or at a fixed
+//!   interval, and a watch that is silent is replaced rather than joined: at any time there is one
+//!   call or one watch.
 //! - Memory: an [`ObjectStream`] holds one object of a bounded size.
 //!
 //! # What it assumes
@@ -27,8 +28,9 @@
 //!   failure up to 800 ms, times a random factor from 0.5 to 1 (the `BACKOFF_...` constants in
 //!   `watch.rs`). A call that hangs is given up after 1 s, or after up to 2.5 s following
 //!   failures; a watch that is silent for 2.6 s is replaced at once. The [`Watch`] never gives up.
-//! - [`Mode::Polled`]: a call has 2.5 s. The caller ends its [`Watch`] with the first call that
-//!   fails, and the balancer decides when to poll again (its discovery backoff).
+//! - [`Mode::Polled`]: a call has 2.5 s. The first call after a watch that worked starts after a
+//!   random wait of up to 3.4 s, and calls that fail start 3.4 to 3.6 s apart, whatever they fail
+//!   with. The [`Watch`] never gives up here either.
 #![warn(
     clippy::too_many_lines,
     clippy::too_many_arguments,
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -1,8 +1,15 @@
 //! When a subscriber connects to discovery, disconnects and backs off.
 //!
-//! [`MAX_STALENESS`] is spent so: a watch may be silent for [`HEARTBEAT_TIMEOUT`]; the call that
-//! replaces the watch may hang for [`CONNECT_TIMEOUT`]; after a short backoff a second call, which
-//! may take half as long again, still ends in time. The rest is a margin for reading the list.
+//! [`MAX_STALENESS`] is spent so in [`Mode::Pushed`]: a watch may be silent for
+//! [`HEARTBEAT_TIMEOUT`]; the call that replaces the watch may hang for [`CONNECT_TIMEOUT`]; after a
+//! short backoff a second call, which may take half as long again, still ends in time. The rest is
+//! a margin for reading the list.
+//!
+//! In [`Mode::Polled`]: calls that fail begin [`MAX_POLL_INTERVAL`] apart at the most, so the first
+//! call that finds discovery up begins within that time, and may wait [`MAX_TURN_WAIT`] for its
+//! turn. All subscribers lose their watches together when discovery goes down. Each therefore
+//! begins at a random moment of one interval and keeps its place from then on: the calls stay
+//! spread evenly, and discovery meets no crowd when it is up again.
 
 use std::time::Duration;
 
@@ -19,9 +26,28 @@
 const CONNECT_TIMEOUT_GROWTH: f64 = 1.5;
 /// Failures after which the connect timeout no longer grows.
 const MAX_CONNECT_TIMEOUT_STEPS: u32 = 3;
-/// Upper bound of the connect timeout, and the timeout of [`Mode::Polled`], where calls may wait
-/// for their turn for 2 s.
+/// Upper bound of the connect timeout, and the timeout of [`Mode::Polled`]: [`MAX_TURN_WAIT`], and
+/// time for the network.
 const MAX_CONNECT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long a call may wait for its turn at a polled discovery.
+const MAX_TURN_WAIT: Duration = Duration::from_millis(2_000);
+/// The least and the greatest time between the beginnings of two calls in [`Mode::Polled`] of which
+/// the first failed.
+const MIN_POLL_INTERVAL: Duration = Duration::from_millis(3_400);
+const MAX_POLL_INTERVAL: Duration = Duration::from_millis(3_600);
+/// In [`Mode::Polled`], the longest wait after a watch that fell silent: its timeout and a call's
+/// turn must fit into [`MAX_STALENESS`] beside the wait.
+const MAX_WAIT_AFTER_SILENCE: Duration = Duration::from_millis(1_000);
+/// What is left of [`MAX_STALENESS`] for the network and for reading a list.
+const READ_MARGIN: Duration = Duration::from_millis(400);
+const _: () = {
+    let spent = MAX_POLL_INTERVAL.as_millis() + MAX_TURN_WAIT.as_millis();
+    assert!(spent + READ_MARGIN.as_millis() <= MAX_STALENESS.as_millis());
+    let spent = HEARTBEAT_TIMEOUT.as_millis() + MAX_WAIT_AFTER_SILENCE.as_millis();
+    assert!(
+        spent + MAX_TURN_WAIT.as_millis() + READ_MARGIN.as_millis() <= MAX_STALENESS.as_millis()
+    );
+};
 /// The wait after the first call that failed, before jitter; doubled with each further failure.
 const BACKOFF_BASE: Duration = Duration::from_millis(50);
 /// Upper bound of the wait, before jitter.
@@ -86,12 +112,20 @@
 /// | watching | `Heartbeat`, `ListReceived` | watching, for `HEARTBEAT_TIMEOUT`; no failures | |
 /// | watching | any other, from the deadline on | backoff that ends at once | disconnect |
 /// | connecting, watching | `Closed` | backoff, one more failure | |
+///
+/// In [`Mode::Polled`] the backoff after a silent watch has a random length of up to
+/// `MAX_WAIT_AFTER_SILENCE`, and that after a watch which had brought something one of up to
+/// `MIN_POLL_INTERVAL`.
 #[derive(Clone, Debug)]
 pub struct Watch {
     mode: Mode,
     state: State,
     /// Calls and watches in a row that brought nothing.
     failures: u32,
+    /// When the last call began.
+    called_at: Duration,
+    /// Whether the present watch, or the call for it, has brought anything.
+    has_brought_anything: bool,
 }
 
 impl Watch {
@@ -101,6 +135,8 @@
             mode,
             state: State::Backoff { until: now },
             failures: 0,
+            called_at: now,
+            has_brought_anything: false,
         }
     }
 
@@ -113,12 +149,22 @@
         }
     }
 
+    /// The wait until the next call; `None` while a call or a watch is open.
+    pub fn backoff(&self, now: Duration) -> Option<Duration> {
+        match self.state {
+            State::Backoff { until } => Some(until.saturating_sub(now)),
+            State::Connecting { .. } | State::Watching { .. } => None,
+        }
+    }
+
     /// Takes an event, and returns what the caller is to do now. `jitter` is a random number from 0
     /// to 1 that spreads the calls of subscribers which fail together.
     pub fn handle(&mut self, now: Duration, event: Event, jitter: f64) -> Option<Action> {
         match (self.state, event) {
             (State::Backoff { until }, _) if now < until => None,
             (State::Backoff { .. }, _) => {
+                self.called_at = now;
+                self.has_brought_anything = false;
                 self.start_connect_timeout(now);
                 Some(Action::Connect)
             }
@@ -132,6 +178,7 @@
             }
             (State::Watching { .. }, Event::Heartbeat | Event::ListReceived) => {
                 self.failures = 0;
+                self.has_brought_anything = true;
                 self.start_heartbeat_timeout(now);
                 None
             }
@@ -139,6 +186,7 @@
             // of its own.
             (State::Connecting { .. }, Event::ListReceived) => {
                 self.failures = 0;
+                self.has_brought_anything = true;
                 self.start_connect_timeout(now);
                 None
             }
@@ -147,8 +195,13 @@
                 Some(Action::Disconnect)
             }
             (State::Watching { until }, _) if now >= until => {
-                // Changes may have been missed for a whole timeout: the next call starts at once.
-                self.state = State::Backoff { until: now };
+                // Changes may have been missed for a whole timeout: the next call starts at once, or
+                // soon where many may have fallen silent together and wait for their turns.
+                let wait = match self.mode {
+                    Mode::Pushed => Duration::ZERO,
+                    Mode::Polled => MAX_WAIT_AFTER_SILENCE.mul_f64(jitter),
+                };
+                self.state = State::Backoff { until: now + wait };
                 Some(Action::Disconnect)
             }
             _ => None,
@@ -180,12 +233,27 @@
     }
 
     fn back_off(&mut self, now: Duration, jitter: f64) {
+        let until = match self.mode {
+            Mode::Pushed => now + self.exponential_backoff(jitter),
+            Mode::Polled => self.next_poll_at(now, jitter),
+        };
+        self.failures += 1;
+        self.state = State::Backoff { until };
+    }
+
+    /// When a polled discovery is called again.
+    fn next_poll_at(&self, now: Duration, jitter: f64) -> Duration {
+        if self.has_brought_anything {
+            return now + MIN_POLL_INTERVAL.mul_f64(jitter);
+        }
+        let spread = (MAX_POLL_INTERVAL - MIN_POLL_INTERVAL).mul_f64(jitter);
+        now.max(self.called_at + MIN_POLL_INTERVAL + spread)
+    }
+
+    fn exponential_backoff(&self, jitter: f64) -> Duration {
         let doublings = self.failures.min(MAX_BACKOFF_DOUBLINGS);
         let wait = (BACKOFF_BASE * 2u32.pow(doublings)).min(BACKOFF_MAX);
-        self.failures += 1;
         let factor = MIN_JITTER_FACTOR + (1.0 - MIN_JITTER_FACTOR) * jitter;
-        self.state = State::Backoff {
-            until: now + wait.mul_f64(factor),
-        };
+        wait.mul_f64(factor)
     }
 }
--- a/crates/discovery/tests/watch.rs
+++ b/crates/discovery/tests/watch.rs
@@ -22,6 +22,8 @@
     Down,
     /// Takes calls and never answers; watches stay open and silent for good.
     Hangs,
+    /// Refuses calls after some milliseconds, also if it is up again by then, and ends watches.
+    RefusesAfter(u64),
 }
 
 /// A discovery that does one thing after another, each for some milliseconds, and the last for
@@ -45,6 +47,16 @@
 
 /// Plays a watch for a while; gives the times at which it knew all that there was.
 fn play(mode: Mode, discovery: &Discovery, end: Duration) -> Vec<Duration> {
+    play_with_jitter(mode, discovery, end, 0.9)
+}
+
+fn play_with_jitter(
+    mode: Mode,
+    discovery: &Discovery,
+    end: Duration,
+    jitter: f64,
+) -> Vec<Duration> {
+    let mut refused_at = None;
     let mut watch = Watch::new(mode, ms(0));
     let (mut known, mut answer_at, mut opened_at, mut beat_at) = (Vec::new(), None, None, ms(0));
     let mut now = ms(0);
@@ -59,7 +71,7 @@
         let mut event = Event::TimerElapsed;
         if let Some(opened) = opened_at {
             match does {
-                Does::Down => (event, opened_at) = (Event::Closed, None),
+                Does::Down | Does::RefusesAfter(_) => (event, opened_at) = (Event::Closed, None),
                 // One that was open while discovery hung stays silent.
                 Does::Hangs => opened_at = Some(ms(0)),
                 Does::Well(_) if opened == ms(0) || muted(opened) => {}
@@ -70,10 +82,14 @@
                     }
                 }
             }
+        } else if let Some(at) = refused_at {
+            if now >= at {
+                (event, refused_at) = (Event::Closed, None);
+            }
         } else if let Some(at) = answer_at {
             match does {
                 Does::Down => (event, answer_at) = (Event::Closed, None),
-                Does::Hangs => {}
+                Does::Hangs | Does::RefusesAfter(_) => {}
                 Does::Well(_) if now >= at => {
                     (event, answer_at, opened_at, beat_at) =
                         (Event::Connected, None, Some(now), now + BEAT);
@@ -82,15 +98,19 @@
                 Does::Well(_) => {}
             }
         }
-        match watch.handle(now, event, 0.9) {
+        match watch.handle(now, event, jitter) {
             Some(Action::Connect) => {
+                if let Does::RefusesAfter(after) = does {
+                    refused_at = Some(now + ms(after));
+                }
                 answer_at = match does {
                     Does::Well(after) => Some(now + ms(after)),
                     Does::Hangs => Some(Duration::MAX),
+                    Does::RefusesAfter(_) => None,
                     Does::Down => Some(now),
                 };
             }
-            Some(Action::Disconnect) => (answer_at, opened_at) = (None, None),
+            Some(Action::Disconnect) => (answer_at, opened_at, refused_at) = (None, None, None),
             None => {}
         }
         now += ms(1);
@@ -218,4 +238,28 @@
         let blind = longest_blind(&known, ms(reachable), end);
         prop_assert!(blind <= MAX_STALENESS - MARGIN, "blind for {:?} from {} ms", blind, reachable);
     }
+    /// Guards against a polled list that is older than `MAX_STALENESS` after an outage.
+    #[test]
+    fn a_polled_list_is_never_stale_for_long_once_discovery_can_be_reached(
+        spans in proptest::collection::vec(
+            (100u64..9_000, prop_oneof![
+                (1u64..2_000).prop_map(Does::Well),
+                (1u64..2_000).prop_map(Does::RefusesAfter),
+                Just(Does::Down),
+                Just(Does::Hangs),
+            ]),
+            0..6,
+        ),
+        mute in proptest::collection::vec(0u64..30_000, 0..2),
+        turn_wait in 1u64..=2_000,
+        jitter in prop_oneof![Just(0.0), Just(1.0), 0.0..1.0],
+    ) {
+        let reachable = spans.iter().map(|(span, _)| span).sum::<u64>().max(mute.iter().copied().max().unwrap_or(0));
+        let end = ms(reachable + 12_000);
+        let mut spans = spans;
+        spans.push((1, Does::Well(turn_wait)));
+        let known = play_with_jitter(Mode::Polled, &Discovery { spans, mute }, end, jitter);
+        let blind = longest_blind(&known, ms(reachable), end);
+        prop_assert!(blind <= MAX_STALENESS - MARGIN + ms(2), "blind for {:?} from {} ms", blind, reachable);
+    }
 }
--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -32,6 +32,7 @@
     watches: Arc<Mutex<Vec<TcpStream>>>,
     present: Arc<Mutex<Option<String>>>,
     beating: Arc<Mutex<bool>>,
+    turn_wait: Arc<Mutex<Duration>>,
 }
 
 impl Discovery {
@@ -44,9 +45,11 @@
             watches: Arc::default(),
             present: Arc::new(Mutex::new(present)),
             beating: Arc::new(Mutex::new(true)),
+            turn_wait: Arc::default(),
         };
         let (asked, watches) = (discovery.asked.clone(), discovery.watches.clone());
         let present = discovery.present.clone();
+        let turn_wait = discovery.turn_wait.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let mut stream = stream.expect("a connection");
@@ -58,8 +61,13 @@
                     .lock()
                     .unwrap()
                     .push(request.head.lines().next().unwrap().to_string());
+                let is_known = present.lock().unwrap().is_some();
+                if is_known {
+                    thread::sleep(*turn_wait.lock().unwrap());
+                }
                 let mut watches = watches.lock().unwrap();
-                if let Some(list) = present.lock().unwrap().as_ref() {
+                let list = present.lock().unwrap().clone().filter(|_| is_known);
+                if let Some(list) = &list {
                     if !request.head.contains("stream=1") {
                         let _ = stream.write_all(ok(list).as_bytes());
                         continue;
@@ -112,6 +120,19 @@
         self.watches.lock().unwrap().clear();
     }
 
+    /// Ends all watches; calls from now on are taken and never answered.
+    pub fn hang(&self) {
+        *self.present.lock().unwrap() = None;
+        self.fall_silent();
+        self.hang_up();
+    }
+
+    /// Answers calls from now on, each after it has waited for its turn.
+    pub fn answer_in_turn(&self, list: String, turn_wait: Duration) {
+        *self.turn_wait.lock().unwrap() = turn_wait;
+        self.set(list);
+    }
+
     /// Keeps watches open and says nothing more on them.
     pub fn fall_silent(&self) {
         *self.beating.lock().unwrap() = false;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,10 +10,9 @@
 //! # When discovery is down
 //!
 //! The [`Directory`] keeps the endpoints of the last list; nothing in it expires, and requests go
-//! on. A [`Subscription`] calls discovery again and again and never gives up while lists are
-//! pushed (`dewrun_discovery::Watch` has the timeouts and the backoff). Where lists are polled, it
-//! ends with its first call, and the balancer decides when to poll again. One warning is logged
-//! for each outage.
+//! on. A [`Subscription`] calls discovery again and again and never gives up
+//! (`dewrun_discovery::Watch` has the timeouts and the backoff). One warning is logged for each
+//! outage, and where lists are polled a line for each call that fails.
 
 mod call;
 mod directory;
@@ -23,4 +22,4 @@
 pub use call::fetch_snapshot;
 pub use directory::{stable_hash, Directory, DirectoryChange, DrainResult, EndpointRecord};
 pub use endpoint_list::{Endpoint, EndpointList};
-pub use subscription::Subscription;
+pub use subscription::{ListFreshness, Subscription};
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -12,7 +12,7 @@
 pub use open::{Asked, Final};
 use open::{Open, Out, RetryWindow};
 
-use super::discovery::{self, Directory, EndpointList, EndpointRecord};
+use super::discovery::{self, Directory, EndpointList, EndpointRecord, ListFreshness};
 use super::headers::single_header;
 use super::io::Wire;
 use super::trace::step;
@@ -127,6 +127,7 @@
     max_open: usize,
     probe_path: &'static str,
     listed: Cell<bool>,
+    list_freshness: Rc<ListFreshness>,
     closed: Cell<bool>,
     fleet: Option<Rc<Agent>>,
     state: RefCell<State>,
@@ -170,6 +171,7 @@
                 "/alive"
             },
             listed: Cell::new(false),
+            list_freshness: ListFreshness::now(),
             closed: Cell::new(false),
             fleet: start.fleet,
             state: RefCell::new(State {
@@ -230,6 +232,11 @@
         self.listed.get()
     }
 
+    /// The age of the endpoint list in use: the time since it was last known to be current.
+    pub fn list_age(&self) -> Duration {
+        self.list_freshness.list_age()
+    }
+
     /// How many backends are listed, and how many of them are avoided.
     pub fn members(&self) -> (usize, usize) {
         let state = &mut *self.state.borrow_mut();
--- a/src/net/driver/actions.rs
+++ b/src/net/driver/actions.rs
@@ -307,8 +307,8 @@
         });
     }
 
-    /// Follows the list from the version held. Where lists are pushed this goes on for ever; where
-    /// they are asked for, the module is told of the end and decides when to ask again.
+    /// Follows the list from the version held, for ever: when discovery is called again after a
+    /// failure is the subscription's to decide, whether lists are pushed or polled.
     pub(super) fn watch(&self, state: &mut State) {
         if let Some(watch) = state.watch.take() {
             watch.abort();
@@ -327,20 +327,14 @@
             mode,
             held_version: state.index,
             seed: self.seed,
+            freshness: self.list_freshness.clone(),
         };
         let take = move |list: EndpointList| {
             if let Some(driver) = me.upgrade() {
                 driver.take_list(&list, None);
             }
         };
-        let me = self.me.clone();
-        let watch = spawn_local(async move {
-            // Returns only where the module decides when to ask again.
-            subscription.run(take).await;
-            if let Some(driver) = me.upgrade() {
-                driver.list_failed();
-            }
-        });
+        let watch = spawn_local(subscription.run(take));
         state.watch = Some(watch.abort_handle());
     }
 
--- a/src/net/platform/handler.rs
+++ b/src/net/platform/handler.rs
@@ -145,7 +145,11 @@
     /// What this process reports.
     pub fn metrics(&self) -> String {
         let (listed, ejected) = self.driver.members();
-        self.metrics.to_text(EndpointCounts { listed, ejected })
+        self.metrics.to_text(EndpointCounts {
+            listed,
+            ejected,
+            list_age: self.driver.list_age(),
+        })
     }
 
     /// Whether this process can serve.
--- a/tests/acceptance.rs
+++ b/tests/acceptance.rs
@@ -98,6 +98,35 @@
     }
 }
 
+/// Guards against requests to endpoints of a polled list that is older than the rules allow.
+#[test]
+fn a_polled_list_is_in_use_in_time_after_calls_that_hang() {
+    let (first, second) = (Backend::saying(OK), Backend::saying(OK));
+    let (proxy, discovery) = before(&[first.address], |config| {
+        config.replace("automatic", "subscribe").replace(
+            "\"DrainGrace\":250",
+            "\"DrainGrace\":250,\"AskWithin\":10000",
+        )
+    });
+    until("the watch is open", || discovery.write("\n"));
+    discovery.hang();
+    // Discovery can be reached again directly after a call has begun that it will never answer.
+    let calls = || discovery.asked.lock().unwrap().len();
+    until("four calls hang", || calls() >= 5);
+    let list = listing(6, &[second.address, second.address]).replacen("b0", "b7", 1);
+    discovery.answer_in_turn(list, Duration::from_millis(1_900));
+    let reachable = Instant::now();
+    until("the new list is in use", || {
+        proxy.call(&ask("read", "p1", 8_000, "")).status() == 200 && second.seen() > 0
+    });
+    // The rules count a change as told 6 s after discovery had it and could be reached.
+    assert!(
+        reachable.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        reachable.elapsed()
+    );
+}
+
 #[test]
 fn a_list_that_can_not_be_believed_changes_nothing() {
     let (first, second) = (Backend::saying(OK), Backend::saying(OK));
