Reject packets that no process sends before anything acts on them

What callers saw: nothing at first. A packet whose range of origins ends before it begins ended the agent's task by a panic of BTreeMap::range; the process went on serving with the leases, orders and drains of that moment. Without a secret anyone can send one.

Cause: fields of a decoded packet were not checked.

Change: Seal::open checks decoded messages; OpenError::Invalid names the field, is counted and logged. Store and version vector take any range; own versions saturate.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -14,6 +14,9 @@
 use std::rc::Rc;
 use tokio::time::{interval, MissedTickBehavior};
 
+#[cfg(test)]
+mod tests;
+
 /// Packets that are read before the event loop serves requests again.
 const MAX_PACKETS_PER_TURN: usize = 64;
 /// Larger than any valid packet, so that an oversized one is noticed and not cut.
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -7,7 +7,7 @@
 use dewrun_budgets::{Micros, ProcessId, Timestamp};
 use dewrun_config::Fleet as Config;
 use dewrun_fleet::membership::{Membership, MembershipEvent, RejectedUpdates};
-use dewrun_fleet::packet::OpenError;
+use dewrun_fleet::packet::{InvalidContent, OpenError};
 use dewrun_fleet::process_id;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::FxHashMap;
@@ -30,6 +30,9 @@
     malformed: u64,
     other_fleet: u64,
     other_version: u64,
+    invalid: u64,
+    /// What was wrong with the last invalid packet.
+    last_invalid: Option<InvalidContent>,
 }
 
 impl PacketCounters {
@@ -39,12 +42,16 @@
             OpenError::NotAPacket => self.malformed += 1,
             OpenError::WrongHash => self.other_fleet += 1,
             OpenError::OtherVersion => self.other_version += 1,
+            OpenError::Invalid(why) => {
+                self.invalid += 1;
+                self.last_invalid = Some(why);
+            }
         }
     }
 
     /// The sum over all reasons.
     pub fn total(&self) -> u64 {
-        self.malformed + self.other_fleet + self.other_version
+        self.malformed + self.other_fleet + self.other_version + self.invalid
     }
 }
 
@@ -247,8 +254,11 @@
                 malformed,
                 other_fleet,
                 other_version,
+                invalid,
+                last_invalid,
             } = self.packet_counters;
-            warn!("fleet: packets rejected so far: {malformed} malformed, {other_fleet} of another fleet or secret, {other_version} of another version");
+            let last_invalid = last_invalid.map(tracing::field::display);
+            warn!(last_invalid, "fleet: packets rejected so far: {malformed} malformed, {other_fleet} of another fleet or secret, {other_version} of another version, {invalid} invalid");
             self.log_state.packet_counters = self.packet_counters;
         }
     }
--- a/crates/budgets/src/message.rs
+++ b/crates/budgets/src/message.rs
@@ -4,6 +4,7 @@
 use crate::lease::{Grant, Total};
 use crate::{BudgetKey, Epoch, Incarnation, ProcessId, Share, Timestamp, Units};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 /// A message from one process to another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -46,6 +47,52 @@
     },
 }
 
+/// The highest number of a term that is taken from another process. Terms are numbered from the
+/// wall clock's milliseconds on, so no process gets as far by itself.
+pub const MAX_TERM: u64 = 1 << 62;
+
+/// A message that can be decoded and that no process sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum InvalidMessage {
+    /// The number of a term is above [`MAX_TERM`].
+    #[error("{field} is term {number}, which no process reaches")]
+    TermTooHigh {
+        /// The field that names the term.
+        field: &'static str,
+        /// The number.
+        number: u64,
+    },
+}
+
+impl Message {
+    /// Checks the fields of a message that has arrived.
+    ///
+    /// # Errors
+    ///
+    /// [`InvalidMessage`] names the field at fault.
+    pub fn validate(&self) -> Result<(), InvalidMessage> {
+        let number = |epoch: Option<Epoch>| epoch.map_or(0, |epoch| epoch.number);
+        let terms = match self {
+            Message::VoteRequest(request) => {
+                vec![("vote_request.epoch", request.epoch.number)]
+            }
+            Message::VoteResponse(response) => vec![
+                ("vote_response.epoch", response.epoch.number),
+                ("vote_response.votes_for", number(response.votes_for)),
+                ("vote_response.highest_term", response.highest_term),
+            ],
+            Message::NotLeader { grantor } => vec![("not_leader.grantor", number(*grantor))],
+            Message::LeaseRequest { .. }
+            | Message::LeaseResponse { .. }
+            | Message::Recall { .. } => Vec::new(),
+        };
+        match terms.into_iter().find(|(_, number)| *number > MAX_TERM) {
+            Some((field, number)) => Err(InvalidMessage::TermTooHigh { field, number }),
+            None => Ok(()),
+        }
+    }
+}
+
 /// A candidate's question for a vote.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct VoteRequest {
--- a/crates/fleet/src/packet.rs
+++ b/crates/fleet/src/packet.rs
@@ -55,6 +55,37 @@
     /// The hash is right and the rest can't be decoded: another version made the packet.
     #[error("of another version")]
     OtherVersion,
+    /// The packet can be decoded, and no process sends a message like its.
+    #[error("invalid: {0}")]
+    Invalid(#[from] InvalidContent),
+}
+
+/// A message that no process sends, and the part of the program that it is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InvalidContent {
+    /// About budgets.
+    #[error("budgets: {0}")]
+    Budgets(#[from] dewrun_budgets::message::InvalidMessage),
+    /// About the replicated state.
+    #[error("replication: {0}")]
+    Replication(#[from] dewrun_replication::gossip::message::InvalidMessage),
+}
+
+impl Body {
+    /// Checks the fields of messages that have arrived. Membership checks its own as it takes them
+    /// in.
+    fn validate(&self) -> Result<(), InvalidContent> {
+        match self {
+            Body::Membership(_) => {}
+            Body::Budgets(messages) => {
+                for message in messages {
+                    message.validate()?;
+                }
+            }
+            Body::Replication(message) => message.validate()?,
+        }
+        Ok(())
+    }
 }
 
 /// Seals and opens the packets of one fleet.
@@ -78,11 +109,17 @@
     /// The bytes of a packet; `None` if they are more than [`MAX_PACKET_BYTES`].
     pub fn seal(&self, packet: &Packet) -> Option<Vec<u8>> {
         let body = postcard::to_stdvec(packet).ok()?;
+        let bytes = self.seal_body(&body);
+        (bytes.len() <= MAX_PACKET_BYTES).then_some(bytes)
+    }
+
+    /// Puts a body, of any contents and length, behind its hash.
+    pub fn seal_body(&self, body: &[u8]) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(MAGIC.len() + HASH_BYTES + body.len());
         bytes.extend_from_slice(&MAGIC);
-        bytes.extend_from_slice(&self.hash(&body));
-        bytes.extend_from_slice(&body);
-        (bytes.len() <= MAX_PACKET_BYTES).then_some(bytes)
+        bytes.extend_from_slice(&self.hash(body));
+        bytes.extend_from_slice(body);
+        bytes
     }
 
     /// Checks and decodes a packet.
@@ -102,10 +139,11 @@
         if !is_equal_in_constant_time(hash, &self.hash(body)) {
             return Err(OpenError::WrongHash);
         }
-        match postcard::take_from_bytes(body) {
-            Ok((packet, [])) => Ok(packet),
-            _ => Err(OpenError::OtherVersion),
-        }
+        let Ok((packet, [])) = postcard::take_from_bytes::<Packet>(body) else {
+            return Err(OpenError::OtherVersion);
+        };
+        packet.body.validate()?;
+        Ok(packet)
     }
 
     /// A proof, in hexadecimal digits, that whoever made it knows the secret: of a message of some
--- a/crates/replication/src/gossip.rs
+++ b/crates/replication/src/gossip.rs
@@ -148,7 +148,7 @@
         }
     }
 
-    /// Takes in a message, and gives the entries that are new here.
+    /// Takes in a message, and gives the entries that are new here. An invalid message is ignored.
     pub fn on_message(
         &mut self,
         now: Timestamp,
@@ -162,6 +162,9 @@
             message,
             peers,
         } = received;
+        if message.validate().is_err() {
+            return Vec::new();
+        }
         match message {
             Message::Digest { digest } => on_digest(store, from, digest, out),
             Message::InSync { digest } => self.on_in_sync(store, digest),
--- a/crates/replication/src/gossip/message.rs
+++ b/crates/replication/src/gossip/message.rs
@@ -6,6 +6,7 @@
 use crate::entry::Delta;
 use crate::version_vector::{Digest, Dot, OriginRange};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 /// A message between two processes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +44,30 @@
     },
 }
 
+/// A message that can be decoded and that no process sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum InvalidMessage {
+    /// [`Versions::range`].
+    #[error("versions.range ends before it begins")]
+    ReversedRange,
+}
+
+impl Message {
+    /// Checks the fields of a message that has arrived.
+    ///
+    /// # Errors
+    ///
+    /// [`InvalidMessage`] names the field at fault.
+    pub fn validate(&self) -> Result<(), InvalidMessage> {
+        match self {
+            Message::Versions(versions) if versions.range.is_reversed() => {
+                Err(InvalidMessage::ReversedRange)
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
 /// The part of the sender's version vector that lies in a range of origins.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
--- a/crates/replication/src/origin_log.rs
+++ b/crates/replication/src/origin_log.rs
@@ -45,7 +45,8 @@
     pub fn append(&mut self, now: Timestamp, key: Key, value: Vec<u8>) -> Version {
         let last = self.keys_by_version.last_key_value();
         let last = last.map_or(0, |(version, _)| *version);
-        let version = self.known_up_to.max(last) + 1;
+        // Only a forged delta of this origin brings versions so high; peers take no higher one.
+        let version = self.known_up_to.max(last).saturating_add(1);
         let written_at = now as i64;
         self.put(
             now,
--- a/crates/replication/src/store.rs
+++ b/crates/replication/src/store.rs
@@ -142,10 +142,6 @@
 
     /// What a peer with this version vector lacks, of the origins in a range, with `max_entries`
     /// entries at most.
-    ///
-    /// # Panics
-    ///
-    /// If the range ends before it begins and the store is not empty.
     pub fn deltas_missing_at(
         &self,
         now: Timestamp,
@@ -155,7 +151,8 @@
     ) -> MissingDeltas {
         let mut missing = MissingDeltas::default();
         let mut remaining_entries = max_entries;
-        for (origin, log) in self.logs.range(range.first..=range.last) {
+        let logs = self.logs.range(range.first..);
+        for (origin, log) in logs.take_while(|(origin, _)| **origin <= range.last) {
             let after = peer.version(*origin);
             if after >= log.known_up_to() {
                 continue;
--- a/crates/replication/src/version_vector.rs
+++ b/crates/replication/src/version_vector.rs
@@ -56,13 +56,10 @@
         self.dots_in(OriginRange::ALL)
     }
 
-    /// The last known write of each origin in a range.
-    ///
-    /// # Panics
-    ///
-    /// If the range ends before it begins.
+    /// The last known write of each origin in a range; none if the range ends before it begins.
     pub fn dots_in(&self, range: OriginRange) -> impl Iterator<Item = Dot> + '_ {
-        let known = self.0.range(range.first..=range.last);
+        let known = self.0.range(range.first..);
+        let known = known.take_while(move |(origin, _)| **origin <= range.last);
         known.map(|(origin, version)| Dot {
             origin: *origin,
             version: *version,
@@ -105,6 +102,11 @@
         first: Origin(0),
         last: Origin(u64::MAX),
     };
+
+    /// Whether the range ends before it begins, as no process sends it.
+    pub(crate) fn is_reversed(&self) -> bool {
+        self.last < self.first
+    }
 }
 
 /// A version vector as one number: two stores with the same digest know the same writes.
