Fill packets of deltas by their encoded size

What callers saw: a process that starts in a fleet with many restarts behind it may not catch up before its time-out, and serves without the others' orders and drains.

Cause: a packet was filled by an estimate, and a delta without entries (its origin's have expired) opened no new one. More than some 90 of them are over 1,400 bytes; Seal::seal gave None and the agent sent nothing, without a line.

Change: packing counts deltas and entries as encoded; a delta counts as an entry in the bound of one answer. Seal::seal and Seal::pack give a SealError for each message that does not fit, and the agent logs it. Tests that asked for Some and None ask for Ok and Err.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -6,13 +6,14 @@
 use dewrun_budgets::message::{Envelope as BudgetEnvelope, Message};
 use dewrun_budgets::ProcessId;
 use dewrun_fleet::membership::{OutgoingMessage, Output};
-use dewrun_fleet::packet::{Body, Packet, MAX_PACKET_BYTES};
+use dewrun_fleet::packet::{Body, Packet, SealError, MAX_PACKET_BYTES};
 use dewrun_fleet::process_id;
 use dewrun_replication::gossip::message::Envelope;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::time::{interval, MissedTickBehavior};
+use tracing::warn;
 
 #[cfg(test)]
 mod tests;
@@ -138,8 +139,12 @@
             let Some(address) = state.addresses.get(&to) else {
                 continue;
             };
-            for bytes in self.seal.pack(me, &messages) {
-                self.send_bytes(state, *address, &bytes);
+            let packed = self.seal.pack(me, &messages);
+            for bytes in &packed.packets {
+                self.send_bytes(state, *address, bytes);
+            }
+            for error in packed.left_out {
+                log_unsent(*address, error);
             }
         }
         for OutgoingMessage { to, message } in out.members {
@@ -160,8 +165,9 @@
             from: state.config.address,
             body,
         };
-        if let Some(bytes) = self.seal.seal(&packet) {
-            self.send_bytes(state, to, &bytes);
+        match self.seal.seal(&packet) {
+            Ok(bytes) => self.send_bytes(state, to, &bytes),
+            Err(error) => log_unsent(to, error),
         }
     }
 
@@ -169,3 +175,8 @@
         self.transport.send(state.route(to), bytes);
     }
 }
+
+/// Logs a message that can't be sent: its receiver waits for it in vain.
+fn log_unsent(to: SocketAddr, error: SealError) {
+    warn!("fleet: a message to {to} was not sent: {error}");
+}
--- a/crates/fleet/src/packet.rs
+++ b/crates/fleet/src/packet.rs
@@ -88,6 +88,29 @@
     }
 }
 
+/// Why a packet is not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SealError {
+    /// The packet would be longer than [`MAX_PACKET_BYTES`].
+    #[error("a message of {bytes} bytes does not fit a packet")]
+    TooLarge {
+        /// The length that it would have.
+        bytes: usize,
+    },
+    /// The packet can't be encoded.
+    #[error("a message cannot be encoded")]
+    NotEncodable,
+}
+
+/// The sealed packets of several messages.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct PackedMessages {
+    /// The packets.
+    pub packets: Vec<Vec<u8>>,
+    /// One for each message that does not fit a packet by itself, and is left out.
+    pub left_out: Vec<SealError>,
+}
+
 /// Seals and opens the packets of one fleet.
 #[derive(Clone)]
 pub struct Seal {
@@ -106,11 +129,18 @@
         }
     }
 
-    /// The bytes of a packet; `None` if they are more than [`MAX_PACKET_BYTES`].
-    pub fn seal(&self, packet: &Packet) -> Option<Vec<u8>> {
-        let body = postcard::to_stdvec(packet).ok()?;
+    /// The bytes of a packet.
+    ///
+    /// # Errors
+    ///
+    /// [`SealError::TooLarge`] if they are more than [`MAX_PACKET_BYTES`].
+    pub fn seal(&self, packet: &Packet) -> Result<Vec<u8>, SealError> {
+        let body = postcard::to_stdvec(packet).map_err(|_| SealError::NotEncodable)?;
         let bytes = self.seal_body(&body);
-        (bytes.len() <= MAX_PACKET_BYTES).then_some(bytes)
+        if bytes.len() > MAX_PACKET_BYTES {
+            return Err(SealError::TooLarge { bytes: bytes.len() });
+        }
+        Ok(bytes)
     }
 
     /// Puts a body, of any contents and length, behind its hash.
@@ -159,22 +189,26 @@
         hasher.finalize().to_hex()[..2 * HASH_BYTES].to_string()
     }
 
-    /// Seals messages about budgets for one process in as few packets as hold them. A message that
-    /// does not fit a packet by itself is left out.
-    pub fn pack(&self, from: SocketAddr, messages: &[Message]) -> Vec<Vec<u8>> {
+    /// Seals messages about budgets for one process in as few packets as hold them.
+    pub fn pack(&self, from: SocketAddr, messages: &[Message]) -> PackedMessages {
+        let mut packed = PackedMessages::default();
+        self.pack_into(&mut packed, from, messages);
+        packed
+    }
+
+    fn pack_into(&self, packed: &mut PackedMessages, from: SocketAddr, messages: &[Message]) {
         let packet = Packet {
             from,
             body: Body::Budgets(messages.to_vec()),
         };
         match self.seal(&packet) {
-            Some(bytes) => vec![bytes],
-            None if messages.len() > 1 => {
+            Ok(bytes) => packed.packets.push(bytes),
+            Err(_) if messages.len() > 1 => {
                 let (first, second) = messages.split_at(messages.len() / 2);
-                let mut packets = self.pack(from, first);
-                packets.extend(self.pack(from, second));
-                packets
+                self.pack_into(packed, from, first);
+                self.pack_into(packed, from, second);
             }
-            None => Vec::new(),
+            Err(error) => packed.left_out.push(error),
         }
     }
 
--- a/crates/fleet/src/packet/tests.rs
+++ b/crates/fleet/src/packet/tests.rs
@@ -69,7 +69,8 @@
     else {
         panic!("budgets")
     };
-    let packets = seal.pack(from, &messages);
+    let PackedMessages { packets, left_out } = seal.pack(from, &messages);
+    assert_eq!(left_out, []);
     assert!(packets.len() > 1 && packets.iter().all(|bytes| bytes.len() <= MAX_PACKET_BYTES));
     let count = |bytes: &Vec<u8>| match seal.open(bytes).expect("a packet").body {
         Body::Budgets(messages) => messages.len(),
@@ -106,7 +107,7 @@
         bytes.extend_from_slice(&blake3::keyed_hash(&seal.key, &body).as_bytes()[..HASH_BYTES]);
         bytes.extend_from_slice(&body);
         match seal.open(&bytes) {
-            Ok(packet) => prop_assert!(seal.seal(&packet).is_some()),
+            Ok(packet) => prop_assert!(seal.seal(&packet).is_ok()),
             Err(why) => prop_assert_eq!(why, OpenError::OtherVersion),
         }
     }
--- a/crates/fleet/tests/simulation.rs
+++ b/crates/fleet/tests/simulation.rs
@@ -188,7 +188,7 @@
         })
     };
     let packet = sealed(MAX_MESSAGE_BYTES).expect("it fits");
-    assert!(sealed(MAX_MESSAGE_BYTES + 1).is_none());
+    assert!(sealed(MAX_MESSAGE_BYTES + 1).is_err());
     assert!(
         PACKET_OVERHEAD_BYTES >= packet.len() - MAX_MESSAGE_BYTES + 28,
         "with the heads of UDP and IP"
--- a/crates/replication/src/gossip/packing.rs
+++ b/crates/replication/src/gossip/packing.rs
@@ -1,19 +1,20 @@
 //! Packs deltas into packets.
 
-use crate::entry::{Delta, DeltaEntry};
+use crate::entry::Delta;
 use crate::version_vector::Version;
+use serde::Serialize;
 
 #[cfg(test)]
 mod tests;
 
 /// Entries in one packet. A delta counts as one more.
 pub(super) const MAX_ENTRIES_PER_PACKET: usize = 40;
-/// Bytes of entries in one packet, by estimate; the rest of a packet is for its headers.
-const MAX_ENTRY_BYTES_PER_PACKET: usize = 1_000;
-/// Bytes of an entry beside its name and its value, by estimate.
-const ENTRY_OVERHEAD_BYTES: usize = 16;
-/// Bytes of a delta beside its entries, by estimate.
-const DELTA_OVERHEAD_BYTES: usize = 24;
+/// Bytes of deltas in one packet, as encoded. A packet has 1,400 bytes, of which its hash, the
+/// sender's address and the message's kind take up to 50; the largest entry that a store takes in
+/// is about 1,080 with its delta.
+const MAX_DELTA_BYTES_PER_PACKET: usize = 1_200;
+/// Bytes of the longest number of entries in a packet, as encoded.
+const MAX_ENTRY_COUNT_BYTES: usize = 2;
 
 /// Groups deltas so that each group fits a packet. A delta that does not fit is split.
 pub(super) fn pack(deltas: Vec<Delta>) -> Vec<Vec<Delta>> {
@@ -40,27 +41,38 @@
             entries: Vec::new(),
             ..delta
         };
+        self.start_delta(&part);
         for entry in delta.entries {
-            let bytes = entry_bytes(&entry);
-            if !self.has_space_for(bytes) {
+            let bytes = encoded_bytes(&entry);
+            if !self.has_space_for(bytes, part.entries.is_empty()) {
                 part = self.split_before(part, entry.version);
             }
             self.entries += 1;
             self.bytes += bytes;
             part.entries.push(entry);
         }
-        self.entries += 1;
-        self.bytes += DELTA_OVERHEAD_BYTES;
         self.packet.push(part);
     }
 
-    /// Whether a further entry fits. An entry that is too large for any packet gets its own.
-    fn has_space_for(&self, bytes: usize) -> bool {
-        let has_bytes = self.bytes + bytes <= MAX_ENTRY_BYTES_PER_PACKET || self.entries == 0;
-        self.entries < MAX_ENTRIES_PER_PACKET && has_bytes
+    /// Counts a delta without its entries, in the next packet if this one is full.
+    fn start_delta(&mut self, delta: &Delta) {
+        let bytes = encoded_bytes(delta) + MAX_ENTRY_COUNT_BYTES;
+        if !self.has_space_for(bytes, self.packet.is_empty()) {
+            self.close_packet();
+        }
+        self.entries += 1;
+        self.bytes += bytes;
+    }
+
+    /// Whether something further fits. An entry that is too large for any packet gets its own.
+    fn has_space_for(&self, bytes: usize, is_first_of_delta: bool) -> bool {
+        let is_alone = self.packet.is_empty() && is_first_of_delta;
+        let has_bytes = self.bytes + bytes <= MAX_DELTA_BYTES_PER_PACKET;
+        is_alone || (has_bytes && self.entries < MAX_ENTRIES_PER_PACKET)
     }
 
-    /// Ends the packet with a delta up to before a version, and gives the rest of the delta.
+    /// Ends the packet with a delta up to before a version, and gives the rest of the delta, in the
+    /// next packet.
     fn split_before(&mut self, mut delta: Delta, version: Version) -> Delta {
         let rest = Delta {
             after: version - 1,
@@ -72,6 +84,7 @@
             self.packet.push(delta);
         }
         self.close_packet();
+        self.start_delta(&rest);
         rest
     }
 
@@ -84,6 +97,8 @@
     }
 }
 
-fn entry_bytes(entry: &DeltaEntry) -> usize {
-    entry.key.name.len() + entry.value.len() + ENTRY_OVERHEAD_BYTES
+/// The length of a value in a packet.
+fn encoded_bytes(value: &impl Serialize) -> usize {
+    // Plain data can always be encoded.
+    postcard::experimental::serialized_size(value).unwrap_or(usize::MAX / 2)
 }
--- a/crates/replication/src/gossip/tests.rs
+++ b/crates/replication/src/gossip/tests.rs
@@ -2,6 +2,7 @@
 
 use super::message::{Message, Received, Versions};
 use super::Gossip;
+use crate::entry::Delta;
 use crate::orders::{place_order, DesiredState};
 use crate::test_fleet::{order, store};
 use crate::version_vector::{Origin, OriginRange};
@@ -31,3 +32,53 @@
     gossip.on_message(1, &mut store, received, &mut rng, &mut out);
     assert_eq!(out, []);
 }
+
+/// Guards against deltas of expired origins that are dropped, as they do not fit their packet.
+#[test]
+fn a_process_that_starts_after_three_hundred_restarts_catches_up() {
+    const RESTARTS: u64 = 300;
+    /// What an operator's file allows for it by default.
+    const CATCH_UP_TIMEOUT_US: u64 = 2_000_000;
+    const STEP_US: u64 = 10_000;
+    /// A packet has 1,400 bytes with its header and the sender's address; larger ones are dropped.
+    const MAX_MESSAGE_BYTES: usize = 1_350;
+    let (mut stores, peers) = ([store(1), store(2)], [0, 1]);
+    for restart in 0..RESTARTS {
+        let expired = Delta {
+            origin: Origin(u64::MAX - restart),
+            after: 0,
+            up_to: 1_000_000,
+            entries: Vec::new(),
+        };
+        stores[0].merge(0, expired);
+    }
+    let mut gossips = [Gossip::new(0, 0), Gossip::new(0, 1)];
+    gossips[0].abandon_catch_up();
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(1);
+    let mut arriving: Vec<(usize, Message)> = Vec::new();
+    for now in (0..CATCH_UP_TIMEOUT_US).step_by(STEP_US as usize) {
+        let mut sent = Vec::new();
+        for (from, message) in arriving.drain(..) {
+            let to = 1 - from;
+            let received = Received {
+                from,
+                message,
+                peers: &peers,
+            };
+            let mut out = Vec::new();
+            gossips[to].on_message(now, &mut stores[to], received, &mut rng, &mut out);
+            sent.extend(out.into_iter().map(|envelope| (to, envelope.message)));
+        }
+        // The other process opens no round with this one: a large fleet has many to choose from.
+        let mut out = Vec::new();
+        gossips[1].on_tick(now, &stores[1], &peers, &mut rng, &mut out);
+        let others = out.into_iter().filter(|envelope| envelope.to == 0);
+        sent.extend(others.map(|envelope| (1, envelope.message)));
+        arriving = sent;
+        arriving.retain(|(_, message)| {
+            postcard::to_stdvec(message).is_ok_and(|bytes| bytes.len() <= MAX_MESSAGE_BYTES)
+        });
+    }
+    assert!(gossips[1].is_caught_up());
+    assert_eq!(stores[1].version_vector(), stores[0].version_vector());
+}
--- a/crates/replication/src/store.rs
+++ b/crates/replication/src/store.rs
@@ -162,7 +162,8 @@
                 break;
             }
             let delta = log.delta_after(now, *origin, after, remaining_entries);
-            remaining_entries -= delta.entries.len();
+            // A delta takes space in a packet even if its entries have expired.
+            remaining_entries = remaining_entries.saturating_sub(delta.entries.len() + 1);
             missing.is_truncated = delta.up_to < log.known_up_to();
             missing.deltas.push(delta);
             if missing.is_truncated {
