--- a/crates/agent/src/exchange/tests.rs
+++ b/crates/agent/src/exchange/tests.rs
@@ -29,7 +29,7 @@
     let texts: Vec<String> = files.into_iter().map(read).collect();
     let lines = texts.iter().flat_map(|text| text.lines());
     let digits = lines.map(|line| line.split_once(' ').expect("a name and digits").1);
-    digits.map(|digits| unhex(digits)).collect()
+    digits.map(unhex).collect()
 }
 
 /// An agent of the example's fleet, which has no secret; the other members never answer.
