--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -227,6 +227,14 @@
         matches!(told, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
+    /// Has what was read acknowledged now. The system delays acknowledgements by up to 40 ms, and a
+    /// peer's system may hold small writes back until then (RFC 896): they would come just behind
+    /// the next request.
+    pub fn acknowledge(&self) {
+        // Where the system has no such option, the peer's bytes are only seen later.
+        let _ = SockRef::from(&self.stream).set_tcp_quickack(true);
+    }
+
     /// Whether the peer holds the connection open and has sent nothing that is still unread. Asks
     /// the socket itself: the runtime's own view may be one turn old.
     pub fn is_quiet(&self) -> bool {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -3,6 +3,7 @@
 use super::connect::{self, ConnectError};
 use super::io::{out_of_descriptors, Io, Wire};
 use super::limits::{Body, Limits, Taken, READ_AHEAD};
+use super::recent_answers::RecentAnswers;
 use super::stream::{AnswerBody, OutBody, Streamed, Upload};
 use dewrun_admin::Counter;
 use dewrun_balancer::{EndpointId, Outcome, Report, ReportField};
@@ -192,6 +193,7 @@
     pub(super) sender: SendRequest<OutBody>,
     pub(super) protocol: Pin<Box<Connection<Io, OutBody>>>,
     pub(super) wire: Rc<Wire>,
+    pub(super) recent_answers: RecentAnswers,
     _counted: Taken,
 }
 
@@ -265,8 +267,12 @@
         }
     }
 
-    /// Puts a connection back into the pool.
+    /// Puts a connection back into the pool. On the platform a second answer that the endpoint's
+    /// system holds back must come while the connection rests.
     pub(super) fn put_idle(&self, backend: EndpointId, address: SocketAddr, conn: Conn) {
+        if self.manner == Manner::Platform {
+            conn.wire.acknowledge();
+        }
         let idle = Idle {
             conn,
             address,
@@ -391,6 +397,7 @@
             sender,
             protocol: Box::pin(protocol),
             wire,
+            recent_answers: RecentAnswers::default(),
             _counted: counted,
         })
     }
