Begin an attempt's time-out anew that passed before its first byte

What callers saw: a 503 with 8 s left, on a busy machine.

The attempt ended NotSent (took 13 to 15 ms), which the balancer takes for a request whose time is over, and rejects.

Change: a time-out that has passed by then begins anew, within the deadline.

--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -80,7 +80,7 @@
             return Ended::now(outcome);
         }
         let mut idle = self.idle_connection(target, inbound).await;
-        let attempt = Attempt {
+        let mut attempt = Attempt {
             upstream: self,
             target,
             inbound,
@@ -106,6 +106,7 @@
             if let Err(outcome) = (hooks.may_begin)() {
                 return Ended::now(outcome);
             }
+            attempt.restart_elapsed_timeout();
             match attempt.send(conn, is_pooled).await {
                 Sent::Response(response) => return attempt.receive(response, hooks).await,
                 // Not a byte of the request went out: a new connection serves as well.
@@ -238,6 +239,15 @@
         self.upstream.manner == Manner::Ordinary
     }
 
+    /// Begins a time-out anew that passed before the first byte could be written, on a busy machine
+    /// or behind a late connection: the request has time left, and the endpoint is not at fault.
+    fn restart_elapsed_timeout(&mut self) {
+        let now = Instant::now();
+        if now >= self.until {
+            self.until = self.times.deadline.min(now + self.times.most);
+        }
+    }
+
     /// Writes the request and waits for the head of the response.
     async fn send(&self, conn: Conn, is_pooled: bool) -> Sent {
         let upstream = self.upstream;
