Stop in order when a task ends without which a process serves wrongly

What callers saw: nothing; a process whose fleet agent had panicked went on serving with its old leases, orders and drains, and its status answered as if all was well.

Cause: tasks were started by spawn_local and their handles dropped.

Change: Supervisor starts the agent, its server, the fleet position, the listeners, the maintenance of connections, reloads and the admin address, and reports the end of each by name. The program logs it, stops as on SIGTERM, and exits with a failure.

--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -7,6 +7,7 @@
 use crate::net::limits::Limits;
 use crate::net::pool::Common;
 use crate::net::upstream::AnswerTimes;
+use crate::supervisor::{supervisor, Supervisor, TaskEnded, TaskEnds};
 use dewrun_admin::ShutdownPlan;
 use dewrun_agent::{Agent, Options};
 use dewrun_config::{Installation, Log, LogFormat};
@@ -18,8 +19,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::task::spawn_local;
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 /// For a client to read the last response on a connection that ends with bytes unread.
 const LINGER: Duration = Duration::from_secs(2);
@@ -54,6 +54,9 @@
         /// The system's error.
         source: std::io::Error,
     },
+    /// A task without which the process serves wrongly has ended.
+    #[error("{0}; this process stops")]
+    Task(#[from] TaskEnded),
     /// The agent of the fleet does not start.
     #[error(transparent)]
     Agent(#[from] dewrun_agent::error::StartError),
@@ -110,7 +113,7 @@
 ///
 /// # Errors
 ///
-/// If the process can't listen, receive signals, or start its agent.
+/// If the process can't listen, receive signals, or start its agent, or if one of its tasks ends.
 pub async fn run(
     args: &ServeArgs,
     config: Installation,
@@ -132,7 +135,8 @@
     );
     let timeouts = client_timeouts(&config);
     let folder = args.config.as_deref().map(folder_of).unwrap_or_default();
-    let agent = start_agent(&config, &folder).await?;
+    let (supervisor, mut task_ends) = supervisor();
+    let agent = start_agent(&config, &folder, &supervisor).await?;
     let common = Common {
         limits: limits.clone(),
         times: AnswerTimes {
@@ -151,19 +155,23 @@
     }
     let drain = Rc::new(DrainState::default());
     let server = ClientServer::new(gateway.clone(), limits, timeouts, drain);
-    accept_all(&server, &gateway, listeners);
-    spawn_local(server.clone().maintain());
+    accept_all(&server, &gateway, listeners, &supervisor);
+    supervisor.spawn("client maintenance", server.clone().maintain());
     if agent.is_some() {
-        spawn_local(follow_fleet_position(gateway.clone()));
+        supervisor.spawn("fleet position", follow_fleet_position(gateway.clone()));
+    }
+    let stopped = reload_until_stopped(args, env, &gateway, &mut signals, &mut task_ends).await;
+    match &stopped {
+        Ok(()) => info!("stopping"),
+        Err(end) => error!("{end}; stopping"),
     }
-    reload_until_stopped(args, env, &gateway, &mut signals).await;
-    info!("stopping");
     let plan = ShutdownPlan::restart(timeouts.shutdown);
     server.shut_down(plan).await;
-    if let Some(agent) = agent {
+    if let (Ok(()), Some(agent)) = (&stopped, agent) {
+        // After a panic its state may be wrong: leases end by their clocks, and peers notice.
         agent.leave();
     }
-    Ok(())
+    Ok(stopped?)
 }
 
 fn start_log(log: &Log, trace: bool) {
@@ -197,13 +205,14 @@
 async fn start_agent(
     config: &Installation,
     folder: &Path,
+    supervisor: &Supervisor,
 ) -> Result<Option<Rc<Agent>>, ServeError> {
     let Some(agent) = Agent::start(config, folder, Options::default()).await? else {
         return Ok(None);
     };
     let listener = listen(agent.address()).await?;
-    spawn_local(agent.clone().run());
-    spawn_local(agent.clone().serve_requests(listener));
+    supervisor.spawn("fleet agent", agent.clone().run());
+    supervisor.spawn("fleet server", agent.clone().serve_requests(listener));
     Ok(Some(agent))
 }
 
@@ -225,12 +234,17 @@
     }
 }
 
-fn accept_all(server: &Rc<ClientServer<Gateway>>, gateway: &Gateway, listeners: Vec<TcpListener>) {
+fn accept_all(
+    server: &Rc<ClientServer<Gateway>>,
+    gateway: &Gateway,
+    listeners: Vec<TcpListener>,
+    supervisor: &Supervisor,
+) {
     let installed = gateway.installed();
     for (index, listener) in listeners.into_iter().enumerate() {
         let address = installed.config.listeners[index].address;
         info!("{} listens at {address}", installed.name());
-        spawn_local(server.clone().accept(listener, index));
+        supervisor.spawn("listener", server.clone().accept(listener, index));
     }
 }
 
@@ -241,17 +255,20 @@
     }
 }
 
-/// Reads the operator's file again at each SIGHUP. Returns at SIGTERM or SIGINT.
+/// Reads the operator's file again at each SIGHUP. Returns at SIGTERM or SIGINT, or when a task ends
+/// that was to run for as long as the process.
 async fn reload_until_stopped(
     args: &ServeArgs,
     env: Environment,
     gateway: &Gateway,
     signals: &mut Signals,
-) {
+    task_ends: &mut TaskEnds,
+) -> Result<(), TaskEnded> {
     loop {
         tokio::select! {
-            _ = signals.terminate.recv() => return,
-            _ = signals.interrupt.recv() => return,
+            _ = signals.terminate.recv() => return Ok(()),
+            _ = signals.interrupt.recv() => return Ok(()),
+            end = task_ends.next() => return Err(end),
             _ = signals.reload.recv() => reload(args, env, gateway),
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -27,6 +27,8 @@
     pub mod upstream;
 }
 
+mod supervisor;
+
 use clap::Parser;
 use cli::{Cli, Command, ServeArgs};
 use commands::serve::ServeError;
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -16,6 +16,7 @@
 use super::driver::{Driver, Membership, Start};
 use super::limits::{Limits, BODY_MOST, CALLER_IDLE, REQUEST_TIME};
 use super::upstream::Upstream;
+use crate::supervisor::supervisor;
 use dewrun_admin::{Metrics, ShutdownPlan};
 use std::rc::Rc;
 use std::time::Duration;
@@ -104,7 +105,8 @@
         spawn_local(Notes::start(&folder, serves, driver.clone()).exchange());
     }
     let (followed, counted) = (driver.clone(), metrics.clone());
-    spawn_local(async move {
+    let (supervisor, mut task_ends) = supervisor();
+    supervisor.spawn("reload", async move {
         while reload.recv().await.is_some() {
             let read = config::reload(env);
             counted.count_reload(read.is_ok());
@@ -132,12 +134,19 @@
         linger: Duration::ZERO,
     };
     if let Some(control) = control {
-        spawn_local(Control::new(handler.clone(), drain.clone()).accept(control));
+        let accept = Control::new(handler.clone(), drain.clone()).accept(control);
+        supervisor.spawn("admin address", accept);
     }
     let server = ClientServer::new(handler, limits, timeouts, drain);
-    let accepting = spawn_local(server.clone().accept(listener, 0));
-    spawn_local(server.clone().maintain());
-    term.recv().await;
+    let accepting = supervisor.spawn("listener", server.clone().accept(listener, 0));
+    supervisor.spawn("client maintenance", server.clone().maintain());
+    let stopped = tokio::select! {
+        _ = term.recv() => Ok(()),
+        end = task_ends.next() => {
+            tracing::error!("{end}; stopping");
+            Err(format!("{end}; this process stops"))
+        }
+    };
     if config.inherited.is_some() {
         // The successor has the same listening socket: what waits there is its own from now on.
         accepting.abort();
@@ -146,5 +155,5 @@
     } else {
         server.shut_down(ShutdownPlan::restart(stop)).await;
     }
-    Ok(())
+    stopped
 }
