Spread the first calls of processes that start at a polled discovery

Cause, by the new log fields: 34 restarted processes called in one millisecond while the queue was near its 2 s; they and 16 others were refused, and called again 3.5 s later.

Change: the first call of a process starts at a random moment of 1 s where lists are polled; pushed lists are called for at once, as before.

--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -38,6 +38,8 @@
 /// In [`Mode::Polled`], the longest wait after a watch that fell silent: its timeout and a call's
 /// turn must fit into [`MAX_STALENESS`] beside the wait.
 const MAX_WAIT_AFTER_SILENCE: Duration = Duration::from_millis(1_000);
+/// In [`Mode::Polled`], the longest wait of a process that starts: many may start together.
+const MAX_FIRST_CALL_WAIT: Duration = Duration::from_millis(1_000);
 /// What is left of [`MAX_STALENESS`] for the network and for reading a list.
 const READ_MARGIN: Duration = Duration::from_millis(400);
 const _: () = {
@@ -140,6 +142,18 @@
         }
     }
 
+    /// Has the first call to a polled discovery start after a random part of `MAX_FIRST_CALL_WAIT`,
+    /// where `jitter` is from 0 to 1. Pushed lists come at no cost, and are called for at once.
+    pub fn spread_first_call(mut self, jitter: f64) -> Watch {
+        if let (Mode::Polled, State::Backoff { until }) = (self.mode, self.state) {
+            let wait = MAX_FIRST_CALL_WAIT.mul_f64(jitter);
+            self.state = State::Backoff {
+                until: until + wait,
+            };
+        }
+        self
+    }
+
     /// When [`Event::TimerElapsed`] must be reported at the latest.
     pub fn next_deadline(&self) -> Duration {
         match self.state {
--- a/crates/discovery/tests/crowd.rs
+++ b/crates/discovery/tests/crowd.rs
@@ -178,3 +178,23 @@
         before.calls
     );
 }
+
+/// Guards against calls that crowd where many processes are restarted together.
+#[test]
+fn processes_that_start_together_spread_their_first_calls() {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(1);
+    let spread = Duration::from_millis(1_000);
+    let mut first_calls: Vec<Duration> = (0..300)
+        .map(|_| Watch::new(Mode::Polled, DOWN_AT).spread_first_call(rng.random()))
+        .map(|watch| watch.next_deadline() - DOWN_AT)
+        .collect();
+    first_calls.sort_unstable();
+    assert!(first_calls.iter().all(|wait| *wait <= spread));
+    let longest_gap = first_calls.windows(2).map(|pair| pair[1] - pair[0]).max();
+    assert!(
+        longest_gap.is_some_and(|gap| gap < spread / 20),
+        "{longest_gap:?}"
+    );
+    let pushed = Watch::new(Mode::Pushed, DOWN_AT).spread_first_call(1.0);
+    assert_eq!(pushed.next_deadline(), DOWN_AT);
+}
--- a/crates/test-support/src/faults.rs
+++ b/crates/test-support/src/faults.rs
@@ -157,6 +157,10 @@
             .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
             .expect("a port");
         listener.listen(0).expect("it listens");
+        // It holds for accepting too.
+        listener
+            .set_read_timeout(Some(crate::PATIENCE))
+            .expect("a time limit");
         let address = listener
             .local_addr()
             .expect("its address")
--- a/src/net/discovery/subscription.rs
+++ b/src/net/discovery/subscription.rs
@@ -58,12 +58,11 @@
 
 impl WatchTimer {
     fn start(mode: Mode, seed: u64) -> WatchTimer {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let watch = Watch::new(mode, Duration::ZERO).spread_first_call(rng.random());
         WatchTimer {
             started_at: Instant::now(),
-            watch: RefCell::new((
-                Watch::new(mode, Duration::ZERO),
-                Xoshiro256PlusPlus::seed_from_u64(seed),
-            )),
+            watch: RefCell::new((watch, rng)),
         }
     }
 
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -235,6 +235,8 @@
     )
     .expect("a port");
     slow.listen(0).expect("it listens");
+    // It holds for accepting too.
+    slow.set_read_timeout(Some(PATIENCE)).expect("a time limit");
     let address = slow.local_addr().unwrap().as_socket().unwrap();
     let filler = TcpStream::connect(address).expect("the queue is empty");
     let discovery = Discovery::start(Some(list(5, true, &[entry("b0", address, "ready")])));
