--- a/crates/balancer/src/discovery_backoff.rs
+++ b/crates/balancer/src/discovery_backoff.rs
@@ -1,7 +1,7 @@
 //! When to poll discovery again after a failed call, on the wire of the platform's simulator.
 //!
-//! The proxy reports no failed call to the balancer: `Watch` in `dewrun-discovery` owns the whole time
-//! budget there, which includes how long a call takes. The simulator's calls take no time.
+//! The proxy reports no failed call to the balancer: `Watch` in `dewrun-discovery` owns the whole
+//! time budget there, which includes how long a call takes. The simulator's calls take no time.
 
 use crate::Millis;
 
