--- a/src/main.rs
+++ b/src/main.rs
@@ -21,7 +21,6 @@
     pub mod limits;
     pub mod platform;
     pub mod pool;
-    pub mod recent_answers;
     pub mod stream;
     pub mod trace;
     pub mod upstream;
--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -354,11 +354,9 @@
             let at = exchange.conn.wire.last_read() - not_endpoints;
             match held {
                 Held::Complete(body) => {
-                    if !self.may_be_copy(&mut exchange, &verdict, &head, &body) {
-                        self.upstream
-                            .keep(self.target, exchange, &hooks.still_there)
-                            .await;
-                    }
+                    self.upstream
+                        .keep(self.target, exchange, &hooks.still_there)
+                        .await;
                     return answered(verdict, head, body, at);
                 }
                 Held::TooLong(read) => first = read,
@@ -400,26 +398,6 @@
         }
     }
 
-    /// Whether a good answer may be the second copy of an earlier one on its connection, as the
-    /// platform's endpoints send them. The connection then still holds the answer to this request,
-    /// and must not carry another.
-    fn may_be_copy(
-        &self,
-        exchange: &mut Exchange,
-        verdict: &Verdict,
-        head: &Head,
-        body: &Body,
-    ) -> bool {
-        let Conn {
-            wire,
-            recent_answers,
-            ..
-        } = &mut exchange.conn;
-        !self.is_ordinary()
-            && verdict.is_wanted
-            && recent_answers.record(wire.last_read(), head.status, &body.bytes)
-    }
-
     fn verdict(&self, head: &Head) -> Verdict {
         let outcome = outcome(self.upstream.manner, head.status, &head.headers);
         let is_wanted = self.is_ordinary() || outcome == Outcome::Ok;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -3,7 +3,6 @@
 use super::connect::{self, ConnectError};
 use super::io::{out_of_descriptors, Io, Wire};
 use super::limits::{Body, Limits, Taken, READ_AHEAD};
-use super::recent_answers::RecentAnswers;
 use super::stream::{AnswerBody, OutBody, Streamed, Upload};
 use dewrun_admin::Counter;
 use dewrun_balancer::{EndpointId, Outcome, Report, ReportField};
@@ -193,7 +192,6 @@
     pub(super) sender: SendRequest<OutBody>,
     pub(super) protocol: Pin<Box<Connection<Io, OutBody>>>,
     pub(super) wire: Rc<Wire>,
-    pub(super) recent_answers: RecentAnswers,
     _counted: Taken,
 }
 
@@ -397,7 +395,6 @@
             sender,
             protocol: Box::pin(protocol),
             wire,
-            recent_answers: RecentAnswers::default(),
             _counted: counted,
         })
     }
