--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -28,9 +28,9 @@
 //!   failure up to 800 ms, times a random factor from 0.5 to 1 (the `BACKOFF_...` constants in
 //!   `watch.rs`). A call that hangs is given up after 1 s, or after up to 2.5 s following
 //!   failures; a watch that is silent for 2.6 s is replaced at once. The [`Watch`] never gives up.
-//! - [`Mode::Polled`]: a call has 2.5 s. The first call of a process starts within 1 s. The first call after a watch that worked starts after a
-//!   random wait of up to 3.4 s, and calls that fail start 3.4 to 3.6 s apart, whatever they fail
-//!   with. The [`Watch`] never gives up here either.
+//! - [`Mode::Polled`]: a call has 2.5 s. The first call of a process starts within 1 s. The first
+//!   call after a watch that worked starts after a random wait of up to 3.4 s, and calls that fail
+//!   start 3.4 to 3.6 s apart, whatever they fail with. The [`Watch`] never gives up here either.
 #![warn(
     clippy::too_many_lines,
     clippy::too_many_arguments,
