Give the platform's start typed errors and functions of one step each

Errors of the configuration, the sockets and the signals were strings. They are ConfigError, ConfigFault and PlatformError now, with the same text (the golden file of the platform's start is as it was). run was one function of 130 lines; it reads as the list of its steps. doors is listener, the term of the glossary.

--- a/src/main.rs
+++ b/src/main.rs
@@ -33,6 +33,7 @@
 use cli::{Cli, Command, ServeArgs};
 use commands::serve::ServeError;
 use net::platform;
+use net::platform::error::PlatformError;
 use std::fmt::Display;
 use std::future::Future;
 use std::process::ExitCode;
@@ -54,10 +55,10 @@
     std::env::var(name).ok()
 }
 
-fn run_on_platform() -> Result<(), String> {
+fn run_on_platform() -> Result<(), PlatformError> {
     let config = platform::config::load(environment)?;
     let served = on_one_thread(platform::run(config, environment));
-    served.map_err(|e| e.to_string())?
+    served.map_err(PlatformError::Runtime)?
 }
 
 fn serve(args: &ServeArgs) -> Result<(), ServeError> {
--- a/src/net/platform/config.rs
+++ b/src/net/platform/config.rs
@@ -1,5 +1,6 @@
 //! What the platform tells a proxy: `NODE_CONFIG` and the environment.
 
+use super::error::{ConfigError, ConfigFault};
 use crate::net::discovery::EndpointList;
 use dewrun_balancer::Settings;
 use dewrun_simulator_adapter::parse_settings;
@@ -7,6 +8,9 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 
+/// The variable that names the configuration.
+const CONFIG_VARIABLE: &str = "NODE_CONFIG";
+
 /// Descriptors a process may hold, and its memory, where the configuration does not say.
 const USUAL_SOCKETS: usize = 1_024;
 const USUAL_MEMORY_MB: usize = 192;
@@ -54,54 +58,75 @@
 }
 
 /// Reads the file that `NODE_CONFIG` names. An address in the environment goes before the file's.
-pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let path = env("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
-    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    parse(&text, env).map_err(|e| format!("{path}: {e}"))
+///
+/// # Errors
+///
+/// If the variable is not set, or the file can't be read or used.
+pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let (path, text) = read(&env)?;
+    parse(&text, env).map_err(|source| ConfigError::Faulty { path, source })
 }
 
 /// Reads the file again and gives its address of discovery. Now the file goes before the
 /// environment, which can't have changed.
-pub fn reload(env: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, String> {
+///
+/// # Errors
+///
+/// As those of [`load`].
+pub fn reload(env: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, ConfigError> {
     #[derive(Deserialize)]
     struct Changed {
         discovery: SocketAddr,
     }
-    let path = env("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
-    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    let changed: Changed = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+    let (path, text) = read(&env)?;
+    let changed: Changed = serde_json::from_slice(&text).map_err(|source| ConfigError::Faulty {
+        path,
+        source: source.into(),
+    })?;
     Ok(changed.discovery)
 }
 
-fn parse(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let raw: Raw = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    let optional = |variable: &str, key: &str, own: Option<String>| {
-        let text = env(variable).filter(|text| !text.is_empty()).or(own);
-        let read = |text: String| {
-            text.parse()
-                .map_err(|_| format!("{key}: {text:?} is not an address"))
-        };
-        text.map(read).transpose()
-    };
-    let address = |variable: &str, key: &str, own: Option<String>| -> Result<SocketAddr, String> {
-        optional(variable, key, own)?.ok_or(format!("{key}: it is missing"))
-    };
-    let number = env("NODE_INHERITED_FD").filter(|text| !text.is_empty());
-    let read = |text: String| {
-        let number = text.parse().ok().filter(|number| *number >= 0);
-        number.ok_or(format!("NODE_INHERITED_FD: {text:?} is not a descriptor"))
+/// The path and the content of the configuration.
+fn read(env: impl Fn(&str) -> Option<String>) -> Result<(String, Vec<u8>), ConfigError> {
+    let path = env(CONFIG_VARIABLE).ok_or(ConfigError::NotNamed)?;
+    match std::fs::read(&path) {
+        Ok(text) => Ok((path, text)),
+        Err(source) => Err(ConfigError::Unreadable { path, source }),
+    }
+}
+
+fn parse(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigFault> {
+    let raw: Raw = serde_json::from_slice(text)?;
+    let set = |variable: &str| env(variable).filter(|text| !text.is_empty());
+    let address = |variable: &str, key: &'static str, listed: Option<String>| {
+        let text = set(variable).or(listed);
+        text.map(|text| parse_address(key, text)).transpose()
     };
-    let seed = u64::from_str_radix(&raw.seed, 16);
+    let required =
+        |key| move |address: Option<SocketAddr>| address.ok_or(ConfigFault::Missing { key });
     Ok(Config {
-        inherited: number.map(read).transpose()?,
-        control: optional("NODE_CONTROL", "control", raw.control)?,
-        listen: address("NODE_LISTEN", "listen", raw.listen)?,
-        discovery: address("NODE_DISCOVERY", "discovery", raw.discovery)?,
-        seed: seed.map_err(|_| format!("seed: {:?} is not a number in hexadecimal", raw.seed))?,
+        inherited: set("NODE_INHERITED_FD").map(parse_descriptor).transpose()?,
+        control: address("NODE_CONTROL", "control", raw.control)?,
+        listen: address("NODE_LISTEN", "listen", raw.listen).and_then(required("listen"))?,
+        discovery: address("NODE_DISCOVERY", "discovery", raw.discovery)
+            .and_then(required("discovery"))?,
+        seed: parse_seed(raw.seed)?,
         sockets: raw.limits.sockets.unwrap_or(USUAL_SOCKETS),
         memory_mb: raw.limits.memory_mb.unwrap_or(USUAL_MEMORY_MB),
         known: raw.known,
-        settings: parse_settings(raw.settings.to_string().as_bytes())
-            .map_err(|error| error.to_string())?,
+        settings: parse_settings(raw.settings.to_string().as_bytes())?,
     })
 }
+
+fn parse_address(key: &'static str, text: String) -> Result<SocketAddr, ConfigFault> {
+    text.parse().map_err(|_| ConfigFault::Address { key, text })
+}
+
+fn parse_descriptor(text: String) -> Result<i32, ConfigFault> {
+    let number = text.parse().ok().filter(|number| *number >= 0);
+    number.ok_or(ConfigFault::Descriptor { text })
+}
+
+fn parse_seed(text: String) -> Result<u64, ConfigFault> {
+    u64::from_str_radix(&text, 16).map_err(|_| ConfigFault::Seed { text })
+}
--- a/src/net/platform/doors.rs
+++ b/src/net/platform/listener.rs
@@ -6,7 +6,7 @@
 use tokio::net::TcpListener;
 
 /// Listens at an address.
-pub async fn listen(address: SocketAddr) -> Result<TcpListener> {
+pub async fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).await
 }
 
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -1,164 +1,252 @@
-//! The platform that dewrun was first built for: what it tells a proxy, its callers, its second
+//! The platform that dewrun was first built for: what it tells a proxy, its clients, its admin
 //! address, and the listening socket that it may hand down.
 
 pub mod config;
 pub mod control;
-pub mod doors;
+pub mod error;
 pub mod handler;
 pub mod handover;
 mod head;
+pub mod listener;
 
 use self::config::Config;
 use self::control::Control;
+use self::error::PlatformError;
 use self::handler::PlatformHandler;
 use self::handover::Notes;
 use super::client::{ClientServer, ClientTimeouts, DrainState};
 use super::driver::{Driver, Membership, Start};
 use super::limits::{Limits, BODY_MOST, CALLER_IDLE, REQUEST_TIME};
 use super::upstream::Upstream;
-use crate::supervisor::supervisor;
+use crate::supervisor::{supervisor, Supervisor};
 use dewrun_admin::{Metrics, ShutdownPlan};
+use dewrun_balancer::Settings;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// Lines of the log a second, over time.
 const LOG_LINES_PER_S: u32 = 10;
+/// Processes that may be here at a time where the listening socket is handed down.
+const HANDOVER_PROCESSES: usize = 2;
 
-/// Serves inside the platform until SIGTERM.
-pub async fn run(config: Config, env: fn(&str) -> Option<String>) -> Result<(), String> {
-    let trace = env("DEWRUN_TRACE").is_some_and(|value| value == "1");
-    dewrun_logging::start(dewrun_logging::LogOptions {
-        format: dewrun_logging::Format::Logfmt,
-        lines_per_s: LOG_LINES_PER_S,
-        trace_requests: trace,
-    });
-    let listener = match config.inherited {
-        Some(number) => {
-            doors::inherited(number).map_err(|e| format!("descriptor {number}: {e}"))?
-        }
-        None => doors::listen(config.listen)
-            .await
-            .map_err(|e| format!("{}: {e}", config.listen))?,
-    };
-    let control = match config.control {
-        Some(address) => Some(
-            doors::listen(address)
-                .await
-                .map_err(|e| format!("control: {address}: {e}"))?,
-        ),
-        None => None,
-    };
-    let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+/// Reads an environment variable.
+type Environment = fn(&str) -> Option<String>;
+
+/// Serves inside the platform until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// If the process can't listen or receive signals, or if one of its tasks ends.
+pub async fn run(config: Config, env: Environment) -> Result<(), PlatformError> {
+    start_log(env);
+    let listeners = Listeners::open(&config).await?;
+    let mut signals = Signals::new()?;
+    let is_handed_down = config.inherited.is_some();
+    let listen = config.listen;
     let settings = config.settings.clone();
-    let allowed = &settings.allowed;
-    // Where the doors are handed down, another process may be here with as much.
-    let part = if config.inherited.is_some() { 2 } else { 1 };
-    let limits = Limits::new(
-        config.sockets / part,
-        config.memory_mb.saturating_mul(1 << 20) / part,
-        BODY_MOST,
-    );
-    let (connect_ms, idle_ms) = (allowed.connect_timeout_ms, allowed.idle_close_ms);
-    let metrics = Rc::new(Metrics::new(
-        settings.classes.iter().map(|class| class.name.as_str()),
-    ));
-    let upstream = Upstream::new(
-        limits.clone(),
-        connect_ms,
-        idle_ms,
-        settings.report_fields.clone(),
-    );
-    let upstream = Rc::new(upstream.counting(metrics.forwards(), metrics.unsolicited()));
-    let knows_some = !config.known.endpoints.is_empty();
-    let start = Start {
-        settings: config.settings,
-        seed: config.seed,
-        known: config.known,
-        membership: Membership::Discovery(config.discovery),
-        max_open: limits.clients.most(),
-        fleet: None,
-    };
-    let driver = Driver::start(start, upstream.clone());
+    let limits = limits(&config);
+    let class_names = settings.classes.iter().map(|class| class.name.as_str());
+    let metrics = Rc::new(Metrics::new(class_names));
+    let upstream = upstream(&settings, &limits, &metrics);
+    let has_known_endpoints = !config.known.endpoints.is_empty();
+    let driver = start_driver(config, &limits, &upstream);
     let folder = std::env::temp_dir();
     let (supervisor, mut task_ends) = supervisor();
-    if config.inherited.is_some() {
-        let names = |name: &str, all: Vec<&str>| format!("{name}: {}", all.join(", "));
-        let classes = names(
-            "classes",
-            settings
-                .classes
-                .iter()
-                .map(|class| class.name.as_str())
-                .collect(),
-        );
-        let tenants = names(
-            "tenants",
-            settings
-                .tenants
-                .iter()
-                .map(|tenant| tenant.name.as_str())
-                .collect(),
-        );
-        let serves = format!("{} {classes}; {tenants}", config.listen);
+    if is_handed_down {
+        let serves = served_names(listen, &settings);
         let notes = Rc::new(Notes::start(&folder, serves, driver.clone()));
         supervisor.keep_running("handover notes", move || notes.clone().exchange());
     }
-    let (followed, counted) = (driver.clone(), metrics.clone());
-    supervisor.spawn("reload", async move {
-        while reload.recv().await.is_some() {
-            let read = config::reload(env);
-            counted.count_reload(read.is_ok());
-            match read {
-                Ok(discovery) => followed.follow(discovery),
-                Err(why) => tracing::warn!("not reloaded: {why}"),
-            }
-        }
-    });
+    let reloading = reload_at(signals.reload, env, driver.clone(), metrics.clone());
+    supervisor.spawn("reload", reloading);
     let drain = Rc::new(DrainState::default());
     let handler = PlatformHandler::new(
         driver,
         upstream,
         limits.clone(),
         &settings,
-        knows_some,
+        has_known_endpoints,
         drain.clone(),
         metrics,
     );
-    let stop = handler.stop_time();
-    let timeouts = ClientTimeouts {
-        request: REQUEST_TIME,
-        idle: CALLER_IDLE,
-        shutdown: stop,
-        linger: Duration::ZERO,
-    };
-    if let Some(control) = control {
-        let admin = Control::new(handler.clone(), drain.clone());
-        let listener = Rc::new(control);
-        supervisor.keep_running("admin address", move || {
-            admin.clone().accept(listener.clone())
-        });
+    let stop_time = handler.stop_time();
+    if let Some(admin) = listeners.admin {
+        serve_admin(admin, &handler, &drain, &supervisor);
     }
+    let timeouts = client_timeouts(stop_time);
     let server = ClientServer::new(handler, limits, timeouts, drain);
-    let accepting = supervisor.spawn("listener", server.clone().accept(listener, 0));
+    let accepting = supervisor.spawn("listener", server.clone().accept(listeners.clients, 0));
     supervisor.spawn("client maintenance", server.clone().maintain());
     let stopped = tokio::select! {
-        _ = term.recv() => Ok(()),
-        _ = interrupt.recv() => Ok(()),
+        _ = signals.terminate.recv() => Ok(()),
+        _ = signals.interrupt.recv() => Ok(()),
         end = task_ends.next() => {
             tracing::error!("{end}; stopping");
-            Err(format!("{end}; this process stops"))
+            Err(PlatformError::Task(end))
         }
     };
-    if config.inherited.is_some() {
+    if is_handed_down {
         // The successor has the same listening socket: what waits there is its own from now on.
         accepting.abort();
-        server.shut_down(ShutdownPlan::handover(stop)).await;
+        server.shut_down(ShutdownPlan::handover(stop_time)).await;
         Notes::remove_own(&folder);
     } else {
-        server.shut_down(ShutdownPlan::restart(stop)).await;
+        server.shut_down(ShutdownPlan::restart(stop_time)).await;
     }
     stopped
 }
+
+fn start_log(env: Environment) {
+    dewrun_logging::start(dewrun_logging::LogOptions {
+        format: dewrun_logging::Format::Logfmt,
+        lines_per_s: LOG_LINES_PER_S,
+        trace_requests: env("DEWRUN_TRACE").is_some_and(|value| value == "1"),
+    });
+}
+
+/// The sockets that the process listens on.
+struct Listeners {
+    clients: TcpListener,
+    admin: Option<TcpListener>,
+}
+
+impl Listeners {
+    async fn open(config: &Config) -> Result<Listeners, PlatformError> {
+        let clients = match config.inherited {
+            Some(number) => listener::inherited(number)
+                .map_err(|source| PlatformError::Inherited { number, source })?,
+            None => {
+                listener::bind(config.listen)
+                    .await
+                    .map_err(|source| PlatformError::Listen {
+                        address: config.listen,
+                        source,
+                    })?
+            }
+        };
+        let admin = match config.control {
+            Some(address) => {
+                let bound = listener::bind(address).await;
+                Some(bound.map_err(|source| PlatformError::ListenAdmin { address, source })?)
+            }
+            None => None,
+        };
+        Ok(Listeners { clients, admin })
+    }
+}
+
+/// The signals that the program acts on.
+struct Signals {
+    reload: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Signals, PlatformError> {
+        let receive = |kind, name| {
+            signal(kind).map_err(|source| PlatformError::Signal {
+                signal: name,
+                source,
+            })
+        };
+        Ok(Signals {
+            reload: receive(SignalKind::hangup(), "SIGHUP")?,
+            terminate: receive(SignalKind::terminate(), "SIGTERM")?,
+            interrupt: receive(SignalKind::interrupt(), "SIGINT")?,
+        })
+    }
+}
+
+/// What this process may hold: a part of what the platform gives where another may be here with as
+/// much.
+fn limits(config: &Config) -> Rc<Limits> {
+    let processes = if config.inherited.is_some() {
+        HANDOVER_PROCESSES
+    } else {
+        1
+    };
+    Limits::new(
+        config.sockets / processes,
+        config.memory_mb.saturating_mul(1 << 20) / processes,
+        BODY_MOST,
+    )
+}
+
+fn upstream(settings: &Settings, limits: &Rc<Limits>, metrics: &Metrics) -> Rc<Upstream> {
+    let upstream = Upstream::new(
+        limits.clone(),
+        settings.allowed.connect_timeout_ms,
+        settings.allowed.idle_close_ms,
+        settings.report_fields.clone(),
+    );
+    Rc::new(upstream.counting(metrics.forwards(), metrics.unsolicited()))
+}
+
+fn start_driver(config: Config, limits: &Limits, upstream: &Rc<Upstream>) -> Rc<Driver> {
+    let start = Start {
+        settings: config.settings,
+        seed: config.seed,
+        known: config.known,
+        membership: Membership::Discovery(config.discovery),
+        max_open: limits.clients.most(),
+        fleet: None,
+    };
+    Driver::start(start, upstream.clone())
+}
+
+/// What a process serves, as its handover note names it.
+fn served_names(listen: SocketAddr, settings: &Settings) -> String {
+    let classes: Vec<&str> = settings
+        .classes
+        .iter()
+        .map(|class| class.name.as_str())
+        .collect();
+    let tenants: Vec<&str> = settings
+        .tenants
+        .iter()
+        .map(|tenant| tenant.name.as_str())
+        .collect();
+    format!(
+        "{listen} classes: {}; tenants: {}",
+        classes.join(", "),
+        tenants.join(", ")
+    )
+}
+
+/// Reads the configuration again at each SIGHUP.
+async fn reload_at(mut signal: Signal, env: Environment, driver: Rc<Driver>, metrics: Rc<Metrics>) {
+    while signal.recv().await.is_some() {
+        let read = config::reload(env);
+        metrics.count_reload(read.is_ok());
+        match read {
+            Ok(discovery) => driver.follow(discovery),
+            Err(why) => tracing::warn!("not reloaded: {why}"),
+        }
+    }
+}
+
+fn serve_admin(
+    listener: TcpListener,
+    handler: &Rc<PlatformHandler>,
+    drain: &Rc<DrainState>,
+    supervisor: &Supervisor,
+) {
+    let admin = Control::new(handler.clone(), drain.clone());
+    let listener = Rc::new(listener);
+    supervisor.keep_running("admin address", move || {
+        admin.clone().accept(listener.clone())
+    });
+}
+
+fn client_timeouts(shutdown: Duration) -> ClientTimeouts {
+    ClientTimeouts {
+        request: REQUEST_TIME,
+        idle: CALLER_IDLE,
+        shutdown,
+        linger: Duration::ZERO,
+    }
+}
