Give the loading of an operator's file typed errors

installation::load and apply_environment gave strings. They give LoadError and EnvironmentError, with the same text; dewrun check and dewrun serve share the lines of faults. ServeError has a variant for each cause. The test of a malformed variable compares the error's text as before.

--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -2,8 +2,9 @@
 //! names.
 
 use super::serve::folder_of;
+use crate::net::installation::fault_lines;
 use crate::net::io::complain;
-use dewrun_config::{read_members, Fault, Installation, Membership};
+use dewrun_config::{read_members, Installation, Membership};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -31,7 +32,7 @@
 fn faults_of(file: &Path, text: &str) -> Vec<String> {
     let installation = match Installation::parse(text) {
         Ok(installation) => installation,
-        Err(faults) => return lines(file, &faults),
+        Err(faults) => return fault_lines(file, &faults),
     };
     let folder = folder_of(file);
     let member_files = installation
@@ -51,12 +52,7 @@
         Err(e) => vec![format!("{}: {e}", file.display())],
         Ok(text) => match read_members(&text) {
             Ok(_) => Vec::new(),
-            Err(faults) => lines(file, &faults),
+            Err(faults) => fault_lines(file, &faults),
         },
     }
 }
-
-fn lines(file: &Path, faults: &[Fault]) -> Vec<String> {
-    let line = |fault: &Fault| format!("{}:{fault}", file.display());
-    faults.iter().map(line).collect()
-}
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -3,14 +3,14 @@
 use crate::cli::ServeArgs;
 use crate::net::client::{ClientServer, ClientTimeouts, DrainState};
 use crate::net::gateway::Gateway;
-use crate::net::installation;
+use crate::net::installation::{self, LoadError};
 use crate::net::limits::Limits;
 use crate::net::pool::Common;
 use crate::net::upstream::AnswerTimes;
 use crate::supervisor::{supervisor, Supervisor, TaskEnded, TaskEnds};
 use dewrun_admin::ShutdownPlan;
 use dewrun_agent::{Agent, Options};
-use dewrun_config::{Installation, Log, LogFormat};
+use dewrun_config::{Fault, Installation, Log, LogFormat};
 use dewrun_logging::{Format, LogOptions};
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
@@ -32,9 +32,15 @@
 /// Why an installation is not served.
 #[derive(Debug, thiserror::Error)]
 pub enum ServeError {
-    /// The operator's file, or the arguments in its place, can't be used; a line for each fault.
-    #[error("{0}")]
-    Configuration(String),
+    /// The operator's file can't be used.
+    #[error(transparent)]
+    Load(#[from] LoadError),
+    /// The arguments name neither a file nor a listener.
+    #[error("neither --config nor --listen")]
+    NothingToServe,
+    /// The arguments that stand in place of a file can't be used; a line for each fault.
+    #[error("{}", fault_texts(.0))]
+    Arguments(Vec<Fault>),
     /// The system gives no runtime to serve with.
     #[error("{0}")]
     Runtime(std::io::Error),
@@ -71,19 +77,19 @@
 ///
 /// # Errors
 ///
-/// [`ServeError::Configuration`] with every fault of the file.
+/// With every fault of the file, or of the arguments in its place.
 pub fn load(args: &ServeArgs, env: Environment) -> Result<Installation, ServeError> {
     if let Some(file) = &args.config {
-        return installation::load(file, env).map_err(ServeError::Configuration);
+        return Ok(installation::load(file, env)?);
     }
-    let Some(listen) = args.listen else {
-        let text = "neither --config nor --listen".to_string();
-        return Err(ServeError::Configuration(text));
-    };
-    Installation::simple(listen, &args.backend).map_err(|faults| {
-        let lines: Vec<String> = faults.into_iter().map(|fault| fault.text).collect();
-        ServeError::Configuration(lines.join("\n"))
-    })
+    let listen = args.listen.ok_or(ServeError::NothingToServe)?;
+    Installation::simple(listen, &args.backend).map_err(ServeError::Arguments)
+}
+
+/// The texts of faults that have no place in a file.
+fn fault_texts(faults: &[Fault]) -> String {
+    let texts: Vec<&str> = faults.iter().map(|fault| fault.text.as_str()).collect();
+    texts.join("\n")
 }
 
 /// The signals that the program acts on.
--- a/src/net/installation.rs
+++ b/src/net/installation.rs
@@ -1,6 +1,8 @@
 //! An operator's installation as it is served: its pools, and how it changes from one file to the
 //! next.
 
+mod error;
+
 use super::pool::{Common, Pool};
 use dewrun_agent::{Agent, FleetPosition, RequestBudgets, RequestKind};
 use dewrun_balancer::*;
@@ -15,6 +17,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+pub use error::{fault_lines, EnvironmentError, LoadError};
+
 /// The name of an instance that has none.
 const USUAL_NAME: &str = "dewrun";
 /// Requests a second that no tenant without a limit comes near.
@@ -145,14 +149,10 @@
 pub fn apply_environment(
     config: &mut Installation,
     env: impl Fn(&str) -> Option<String>,
-) -> Result<(), String> {
-    let address = |name: &str| -> Result<Option<SocketAddr>, String> {
-        let Some(text) = env(name) else {
-            return Ok(None);
-        };
-        text.parse()
-            .map(Some)
-            .map_err(|_| format!("{name}: {text:?} is not an address"))
+) -> Result<(), EnvironmentError> {
+    let address = |variable: &'static str| {
+        let text = env(variable);
+        text.map(|text| parse_address(variable, text)).transpose()
     };
     if let (Some(listen), Some(first)) = (address("NODE_LISTEN")?, config.listeners.first_mut()) {
         first.address = listen;
@@ -165,31 +165,39 @@
         }
     }
     if let (None, Some(name)) = (&config.instance.name, env("NODE_NAME")) {
-        if name.is_empty()
-            || !name
-                .bytes()
-                .all(|b| b.is_ascii_alphanumeric() || b"-._".contains(&b))
-        {
-            return Err(format!(
-                "NODE_NAME: {name:?} must be letters, digits and -._ only"
-            ));
-        }
-        config.instance.name = Some(name);
+        config.instance.name = Some(checked_name(name)?);
     }
     Ok(())
 }
 
-/// Reads an operator's file, with the environment over it; every fault on a line of its own.
-pub fn load(file: &Path, env: impl Fn(&str) -> Option<String>) -> Result<Installation, String> {
-    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    let faulty = |faults: Vec<dewrun_config::Fault>| {
-        let lines: Vec<String> = faults
-            .iter()
-            .map(|fault| format!("{}:{fault}", file.display()))
-            .collect();
-        lines.join("\n")
-    };
-    let mut config = Installation::parse(&text).map_err(faulty)?;
+fn parse_address(variable: &'static str, text: String) -> Result<SocketAddr, EnvironmentError> {
+    text.parse()
+        .map_err(|_| EnvironmentError::Address { variable, text })
+}
+
+fn checked_name(name: String) -> Result<String, EnvironmentError> {
+    let is_permitted = |byte: u8| byte.is_ascii_alphanumeric() || b"-._".contains(&byte);
+    if name.is_empty() || !name.bytes().all(is_permitted) {
+        return Err(EnvironmentError::Name { name });
+    }
+    Ok(name)
+}
+
+/// Reads an operator's file, with the environment over it.
+///
+/// # Errors
+///
+/// If the file can't be read, or with every fault of the file, or one of the environment.
+pub fn load(file: &Path, env: impl Fn(&str) -> Option<String>) -> Result<Installation, LoadError> {
+    let path = || file.to_path_buf();
+    let text = std::fs::read_to_string(file).map_err(|source| LoadError::Unreadable {
+        path: path(),
+        source,
+    })?;
+    let mut config = Installation::parse(&text).map_err(|faults| LoadError::Faulty {
+        path: path(),
+        faults,
+    })?;
     apply_environment(&mut config, env)?;
     Ok(config)
 }
--- a/src/net/installation/tests.rs
+++ b/src/net/installation/tests.rs
@@ -3,7 +3,7 @@
 const FILE: &str = "[[listener]]\nname = \"a\"\naddress = \"127.0.0.1:1\"\n[[listener]]\nname = \"b\"\n\
     address = \"127.0.0.1:2\"\n[[pool]]\nname = \"p\"\ndiscovery = \"127.0.0.1:3\"\n[[route]]\npool = \"p\"\n";
 
-fn with(file: &str, variables: &[(&str, &str)]) -> Result<Installation, String> {
+fn with(file: &str, variables: &[(&str, &str)]) -> Result<Installation, EnvironmentError> {
     let mut config = Installation::parse(file).unwrap_or_else(|faults| panic!("{faults:?}"));
     let value = |name: &str| {
         variables
@@ -41,7 +41,10 @@
         ("NODE_DISCOVERY", ""),
         ("NODE_NAME", "a b"),
     ] {
-        let why = with(FILE, &[(name, value)]).err().expect("a fault");
+        let why = with(FILE, &[(name, value)])
+            .err()
+            .expect("a fault")
+            .to_string();
         assert!(why.starts_with(name), "{why}");
     }
 }
