Play mutations of lists, configurations, notes, state files and the fleet's TCP port

The packet that panicked was found by seeded mutations, and nothing else that comes from outside was played so. The mutator moves to dewrun-test-support (same draws for the packets as before), with changes for texts: extreme numbers, repeated parts, single bytes.

New tests, each with a fixed seed and DEWRUN_MUTATIONS to play more by hand: discovery's streams and lists, with requests decided by them; NODE_CONFIG up to the start of a driver; handover notes; fleet.state with a right checksum; request lines, orders with a right proof and answers at the fleet's TCP port. Each asks for no panic, and for an error text where the input is refused.

--- a/crates/agent/src/exchange/tests.rs
+++ b/crates/agent/src/exchange/tests.rs
@@ -4,10 +4,7 @@
 use crate::agent::{Agent, Options};
 use dewrun_config::Installation;
 use dewrun_fleet::packet::Seal;
-use dewrun_test_support::{free_address, unhex};
-use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
-use rand_xoshiro::Xoshiro256PlusPlus;
+use dewrun_test_support::{free_address, unhex, Mutator};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -42,24 +39,6 @@
     agent.expect("it starts").expect("it has a fleet")
 }
 
-/// Changes some bytes of a body: to extremes, to random ones, repeated, cut or exchanged.
-fn mutate(body: &mut Vec<u8>, rng: &mut Xoshiro256PlusPlus) {
-    for _ in 0..rng.random_range(1..=4) {
-        let at = rng.random_range(0..body.len());
-        match rng.random_range(0..6) {
-            0 => body[at] = *[0, 1, 0x7f, 0x80, 0xff].choose(rng).expect("one of them"),
-            1 => body[at] = rng.random(),
-            2 => drop(body.splice(at..at, [0xff; 9].into_iter().chain([1]))),
-            3 => body.truncate(at.max(1)),
-            4 => body.insert(at, rng.random()),
-            _ => {
-                let other = rng.random_range(0..body.len());
-                body.swap(at, other);
-            }
-        }
-    }
-}
-
 /// Guards against a packet that ends the agent's task, or makes the process hold without bound.
 #[test]
 fn mutated_packets_with_a_right_hash_do_no_harm() {
@@ -74,10 +53,10 @@
         let agent = agent(free_address()).await;
         let seal = Seal::new(FLEET, b"");
         let golden = golden_packets();
-        let mut rng = Xoshiro256PlusPlus::seed_from_u64(SEED);
+        let mut mutator = Mutator::new(SEED);
         for number in 0..packets {
-            let mut body = golden.choose(&mut rng).expect("packets")[HEADER_BYTES..].to_vec();
-            mutate(&mut body, &mut rng);
+            let mut body = mutator.choose(&golden)[HEADER_BYTES..].to_vec();
+            mutator.mutate_bytes(&mut body);
             agent.handle_packet(&seal.seal_body(&body));
             if number % PACKETS_PER_TICK == 0 {
                 agent.tick();
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -253,3 +253,6 @@
     let is_proven = seal.proof(LEARNED_STATE_PROOF_CONTEXT, &nonce, text.as_bytes()) == proof;
     is_proven.then(|| serde_json::from_str(text).ok()).flatten()
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/handover/tests/mutations.rs
@@ -0,0 +1,50 @@
+//! Notes with changed contents, as a process of another build or a full disk can leave them.
+
+use dewrun_handover::{predecessor, siblings, Note, NoteError, Reader};
+use dewrun_test_support::{mutation_count, Mutator};
+use std::path::Path;
+
+const SEED: u64 = 20_261_203;
+const DEFAULT_NOTES: usize = 5_000;
+
+/// Guards against a note that ends the task which reads it, or that is taken though no writer could
+/// mean it.
+#[test]
+fn mutated_notes_are_taken_or_rejected_with_the_field_at_fault() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden/note.json");
+    let golden = std::fs::read(file).expect("the golden file");
+    let (mut taken, mut rejected) = (0, 0);
+    let count = mutation_count(DEFAULT_NOTES);
+    Mutator::new(SEED).play_texts(&[golden], count, |bytes| {
+        match Note::parse(&String::from_utf8_lossy(bytes)) {
+            Ok(note) => {
+                taken += 1;
+                assert_usable(note);
+            }
+            Err(NoteError::Malformed(error)) => {
+                rejected += 1;
+                assert!(!error.to_string().is_empty());
+            }
+            Err(error) => {
+                rejected += 1;
+                let text = error.to_string();
+                assert!(text.starts_with("field "), "{text}");
+            }
+        }
+    });
+    assert!(taken > 0 && rejected > 0, "{taken} {rejected}");
+}
+
+fn assert_usable(note: Note) {
+    let reader = Reader {
+        process_id: note.process_id.wrapping_add(1),
+        serves: &note.serves.clone(),
+        now_ms: note.written_at_ms,
+    };
+    let limit_count = note.in_flight.len();
+    let notes = [note.clone(), note];
+    let found = siblings(&notes, &reader, limit_count);
+    assert_eq!(found.count, notes.len());
+    assert!(found.in_flight.iter().all(|attempts| *attempts >= 0.0));
+    let _ = predecessor(&notes, &reader);
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -9,6 +9,7 @@
 //! | `discovery` | the platform's discovery service |
 //! | `proxy`, `daemon` | the program, as its platform or an operator starts it |
 //! | `links` | the network between the processes of a fleet, with faults |
+//! | `mutation` | whoever sends or writes what nobody should |
 //! | `golden`, `wait` | comparison with golden files; waiting for a condition |
 //!
 //! # Panics
@@ -25,6 +26,7 @@
 mod large;
 mod links;
 mod message;
+mod mutation;
 mod proxy;
 mod wait;
 
@@ -37,5 +39,6 @@
 pub use large::{quick, Large};
 pub use links::{Links, Weather, FAIR};
 pub use message::Message;
+pub use mutation::{mutation_count, Mutator};
 pub use proxy::{config, spawn, Proxy};
 pub use wait::{until, PATIENCE};
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,8 @@
     pub mod bodies;
     pub mod client;
     mod connect;
+    #[cfg(test)]
+    mod decision_play;
     pub mod discovery;
     pub mod driver;
     pub mod gateway;
--- /dev/null
+++ b/src/net/decision_play.rs
@@ -0,0 +1,124 @@
+//! Requests played through a decision module without sockets, in made-up time, for tests of what
+//! it was given.
+
+use crate::net::discovery::{Directory, EndpointList};
+use dewrun_balancer::{Action, Balancer, EndpointId, Event, ListKind, Millis, Outcome, Report};
+
+/// When a play starts, in Unix milliseconds.
+const START_MS: Millis = 1_700_000_001_000.0;
+/// The time from one event to the next.
+const STEP_MS: Millis = 7.0;
+const REQUESTS: u64 = 12;
+/// Events that follow from a request at most, as timers set timers.
+const MAX_FOLLOWING_EVENTS: usize = 40;
+const OUTCOMES: [Outcome; 6] = [
+    Outcome::Ok,
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Reset,
+    Outcome::Timeout,
+    Outcome::ConnectFailed,
+];
+
+/// A decision module, its endpoints and the time.
+pub struct Play {
+    balancer: Balancer,
+    directory: Directory,
+    now_ms: Millis,
+    classes: u8,
+    sent: usize,
+}
+
+impl Play {
+    /// A play of a module with so many classes.
+    pub fn new(balancer: Balancer, directory: Directory, classes: usize) -> Play {
+        Play {
+            balancer,
+            directory,
+            now_ms: START_MS,
+            classes: u8::try_from(classes).unwrap_or(u8::MAX),
+            sent: 0,
+        }
+    }
+
+    /// Takes a list in, as the driver does.
+    pub fn apply_list(&mut self, list: &EndpointList) {
+        let change = self.directory.apply(list);
+        self.directory.forget_gone(|_| false);
+        let kind = if list.snapshot {
+            ListKind::Full
+        } else {
+            ListKind::Delta
+        };
+        let mut actions = Vec::new();
+        let event = Event::EndpointsChanged {
+            kind,
+            version: list.index as u32,
+            endpoints: &change.endpoints,
+        };
+        self.balancer.handle(self.now_ms, event, &mut actions);
+    }
+
+    /// Plays some requests of each class, whose attempts end in all ways.
+    pub fn play_requests(&mut self) {
+        for id in 0..REQUESTS {
+            let request = Event::Request {
+                id,
+                key: Some(id),
+                cell: None,
+                class: (id % u64::from(self.classes.max(1))) as u8,
+                tenant: 0,
+                hint_ms: None,
+                repeat: false,
+                write: false,
+                ttl_ms: 2_000.0,
+            };
+            self.play(request);
+        }
+        assert!(!self.balancer.snapshot().is_empty());
+    }
+
+    /// Handles an event and what follows from it.
+    fn play(&mut self, event: Event<'static>) {
+        let mut attempts = 0;
+        let mut events = vec![event];
+        for _ in 0..MAX_FOLLOWING_EVENTS {
+            let Some(event) = events.pop() else { return };
+            let mut actions = Vec::new();
+            self.now_ms += STEP_MS;
+            self.balancer.handle(self.now_ms, event, &mut actions);
+            for action in actions {
+                match action {
+                    Action::Send {
+                        request, endpoint, ..
+                    } => {
+                        events.push(self.outcome(request, attempts, endpoint));
+                        attempts += 1;
+                    }
+                    Action::SetTimer { after_ms, token } => {
+                        assert!(!after_ms.is_nan(), "a timer without a time");
+                        events.insert(0, Event::Timer { token });
+                    }
+                    Action::Reject { retry_after_ms, .. } => {
+                        assert!(retry_after_ms.is_finite(), "{retry_after_ms}");
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn outcome(&mut self, request: u64, attempt: u8, endpoint: EndpointId) -> Event<'static> {
+        let outcome = OUTCOMES[self.sent % OUTCOMES.len()];
+        self.sent += 1;
+        Event::Outcome {
+            request,
+            attempt,
+            endpoint,
+            outcome,
+            latency_ms: STEP_MS,
+            ended: outcome == Outcome::Ok,
+            report: Report::default(),
+        }
+    }
+}
--- a/src/net/discovery/call/tests.rs
+++ b/src/net/discovery/call/tests.rs
@@ -1,4 +1,8 @@
 use super::*;
+use crate::net::decision_play::Play;
+use crate::net::discovery::Directory;
+use dewrun_balancer::Balancer;
+use dewrun_test_support::{mutation_count, Mutator};
 use std::io::{Read, Write};
 
 #[test]
@@ -25,3 +29,52 @@
     assert_eq!((got.index, got.snapshot), (41, true));
     served.join().expect("it served");
 }
+
+const SEED: u64 = 20_261_203;
+const DEFAULT_STREAMS: usize = 3_000;
+const SETTINGS: &str = r#"{"MembershipMode":"automatic","Zones":["z"],"Weights":"nominal",
+    "Classes":[{"Aim":1000,"HardLimit":4000,"Effect":"repeatable"}],
+    "Rules":{"DrainGrace":250,"ColdFrom":0.3,"Cold":8000,"FallMultiple":3,"Fall":3000},
+    "Allowed":{"MaxAttempts":5,"ConnectTimeout":1000}}"#;
+/// A snapshot, heartbeats and deltas, as discovery sends them.
+const STREAM: &str = r#"{"index":41,"snapshot":true,"endpoints":[
+{"name":"a","address":"127.0.0.1:9001","zone":"z","type":"k","group":3,"status":"ready","weight":1.5,"since_ms":1700000000000},
+{"name":"b","address":"[::1]:9002","zone":"y","group":65535,"status":"draining","weight":0.25},
+{"name":"c","address":"127.0.0.1:9003","status":"ready"}]}
+
+{"index":42,"snapshot":false,"endpoints":[{"name":"b","address":"[::1]:9002","status":"gone"},
+{"name":"d","address":"127.0.0.1:9004","status":"warm","weight":2,"since_ms":1699999999000.5}]}
+
+{"index":43,"snapshot":false,"endpoints":[{"name":"a","address":"127.0.0.1:9005","status":"ready","weight":7}]}
+"#;
+
+/// Guards against a list that ends the task which takes it, or the requests after it.
+#[test]
+fn mutated_lists_and_streams_are_taken_or_rejected() {
+    let settings = dewrun_simulator_adapter::parse_settings(SETTINGS.as_bytes());
+    let settings = settings.expect("settings");
+    let originals = [STREAM.as_bytes().to_vec()];
+    let (mut taken, mut rejected) = (0, 0);
+    let count = mutation_count(DEFAULT_STREAMS);
+    Mutator::new(SEED).play_texts(&originals, count, |stream| {
+        let directory = Directory::new(&settings);
+        let balancer = Balancer::new(settings.clone(), SEED);
+        let mut play = Play::new(balancer, directory, settings.classes.len());
+        let mut objects = ObjectStream::new(MAX_LIST_BYTES);
+        let mut held_version = None;
+        let fed = feed_watch(&mut objects, stream, &mut held_version, &mut |event| {
+            if let WatchEvent::List(list) = event {
+                play.apply_list(&list);
+                play.play_requests();
+            }
+        });
+        match fed {
+            Ok(()) => taken += 1,
+            Err(error) => {
+                rejected += 1;
+                assert!(!error.to_string().is_empty());
+            }
+        }
+    });
+    assert!(taken > 0 && rejected > 0, "{taken} {rejected}");
+}
--- a/src/net/platform/config.rs
+++ b/src/net/platform/config.rs
@@ -95,7 +95,10 @@
     }
 }
 
-fn parse(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigFault> {
+pub(super) fn parse(
+    text: &[u8],
+    env: impl Fn(&str) -> Option<String>,
+) -> Result<Config, ConfigFault> {
     let raw: Raw = serde_json::from_slice(text)?;
     let set = |variable: &str| env(variable).filter(|text| !text.is_empty());
     let address = |variable: &str, key: &'static str, listed: Option<String>| {
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -250,3 +250,6 @@
         linger: Duration::ZERO,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/platform/tests.rs
@@ -0,0 +1,78 @@
+//! What the platform and other processes write, with changed contents.
+
+use super::*;
+use crate::net::decision_play::Play;
+use crate::net::discovery::Directory;
+use crate::supervisor::tests::run_local;
+use dewrun_balancer::Balancer;
+use dewrun_test_support::{mutation_count, Mutator};
+
+const SEED: u64 = 20_261_203;
+const DEFAULT_CONFIGURATIONS: usize = 3_000;
+const KNOWN: &str = r#"{"index":41,"snapshot":true,"endpoints":[
+{"name":"a","address":"127.0.0.1:9001","zone":"z","type":"k","group":3,"status":"ready","weight":1.5,"since_ms":1700000000000},
+{"name":"b","address":"[::1]:9002","zone":"y","group":9,"status":"draining","weight":0.25},
+{"name":"c","address":"127.0.0.1:9003","status":"ready"}]}"#;
+
+/// Keys that the short configuration leaves out.
+const MORE_SETTINGS: &str = r#""FleetSize":10,"Rank":3,"Az":0,"Tick":5.0,"Weights":"live",
+"OverShareWorth":0.05,"WorthBy":"work","Report":{"Fields":["active","cpu"],"Via":"inline"},
+"Prices":{"CrossZone":0.02,"Waste":0.11,"Probe":0.1},"Stage":1,"Stages":["front","back"],
+"ObjectiveMix":{"Whole":0.5,"WorstClass":0.11,"Nines":0.2,"FullAtNines":4.0},"#;
+
+fn configuration() -> String {
+    let discovery = SocketAddr::from(([127, 0, 0, 1], 7_000));
+    dewrun_test_support::config(discovery, KNOWN)
+}
+
+/// A module that knows the configuration's endpoints, before its first request.
+fn start_play(config: &Config) -> Play {
+    let directory = Directory::new(&config.settings);
+    let balancer = Balancer::new(config.settings.clone(), config.seed);
+    let mut play = Play::new(balancer, directory, config.settings.classes.len());
+    play.apply_list(&config.known);
+    play
+}
+
+/// All that is made of a configuration before the first socket.
+fn start_up(config: Config) {
+    start_play(&config).play_requests();
+    let limits = limits(&config);
+    let (listen, settings) = (config.listen, config.settings.clone());
+    let class_names = settings.classes.iter().map(|class| class.name.as_str());
+    let metrics = Rc::new(Metrics::new(class_names));
+    let upstream = upstream(&settings, &limits, &metrics);
+    let _ = served_names(listen, &settings);
+    let driver = start_driver(config, &limits, &upstream);
+    let drain = Rc::new(DrainState::default());
+    let handler = PlatformHandler::new(driver, upstream, limits, &settings, true, drain, metrics);
+    let _ = client_timeouts(handler.stop_time());
+    assert!(!handler.metrics().is_empty());
+}
+
+/// Guards against a configuration at which a process ends with a stack and no word of the fault.
+#[test]
+fn mutated_configurations_start_or_name_what_is_wrong() {
+    let short = configuration();
+    let long = short.replace(r#""FleetSize":1,"#, MORE_SETTINGS);
+    assert_ne!(short, long);
+    let originals = [short, long].map(String::into_bytes);
+    run_local(async move {
+        let (mut taken, mut rejected) = (0, 0);
+        let count = mutation_count(DEFAULT_CONFIGURATIONS);
+        Mutator::new(SEED).play_texts(&originals, count, |text| {
+            // Nothing is awaited, so that no socket is opened to a changed address.
+            match config::parse(text, |_| None) {
+                Ok(config) => {
+                    taken += 1;
+                    start_up(config);
+                }
+                Err(fault) => {
+                    rejected += 1;
+                    assert!(!fault.to_string().is_empty());
+                }
+            }
+        });
+        assert!(taken > 0 && rejected > 0, "{taken} {rejected}");
+    });
+}
