Read a negative zero in the settings as zero

With "Cold": -0.0 and an endpoint whose start lies in the future by its clock, the slow-start factor is the negative age over -0.0, which is infinite; the weighted choice then panics at each request. No configuration outside tests is known that says so: -0.0 passed the check "0 or more".

--- a/crates/simulator-adapter/src/schema.rs
+++ b/crates/simulator-adapter/src/schema.rs
@@ -19,7 +19,8 @@
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer};
 
-/// Reads a number and checks it, so that the error is raised where its key is known.
+/// Reads a number and checks it, so that the error is raised where its key is known. A negative zero
+/// becomes 0: a division by it has the wrong sign.
 fn number<'de, D: Deserializer<'de>>(
     from: D,
     ok: fn(f64) -> bool,
@@ -27,7 +28,7 @@
 ) -> Result<f64, D::Error> {
     let value = f64::deserialize(from)?;
     match value.is_finite() && ok(value) {
-        true => Ok(value),
+        true => Ok(value + 0.0),
         false => Err(D::Error::custom(format!(
             "{value} is no use: it must be {must}"
         ))),
--- a/crates/simulator-adapter/tests/settings.rs
+++ b/crates/simulator-adapter/tests/settings.rs
@@ -57,6 +57,16 @@
     parse_settings(json.to_string().as_bytes()).map_err(|error| error.to_string())
 }
 
+/// Guards against an endpoint with an infinite weight, at which each choice of an endpoint panics:
+/// one that started in the future, by its clock, where `Cold` is a negative zero.
+#[test]
+fn a_negative_zero_is_zero() {
+    let mut json = least();
+    json["Rules"]["Cold"] = json!(-0.0);
+    let settings = read(&json).expect("settings");
+    assert_eq!(settings.rules.slow_start_ms.to_bits(), 0.0_f64.to_bits());
+}
+
 #[test]
 fn every_key_is_read() {
     let class = |name: &str, effect, scope| Class {
