--- a/crates/decay/tests/decay.rs
+++ b/crates/decay/tests/decay.rs
@@ -15,6 +15,15 @@
     assert_eq!(DecayingSum::of(3.0, 5.0).read(5.0, 1.0), 3.0);
 }
 
+/// Guards against learned state that can't be restored, as JSON has no infinity.
+#[test]
+fn a_sum_stays_finite() {
+    let mut sum = DecayingSum::of(f64::INFINITY, 5.0);
+    assert_eq!(sum.read(5.0, 1.0), f64::MAX);
+    sum.scale(3.0);
+    assert_eq!(sum.read(5.0, 1.0), f64::MAX);
+}
+
 #[test]
 fn a_part_follows_what_comes_and_is_forgotten() {
     let mut part = DecayingFraction::default();
--- a/src/net/decision_play.rs
+++ b/src/net/decision_play.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// The module.
+    pub fn balancer(&mut self) -> &mut Balancer {
+        &mut self.balancer
+    }
+
     /// Takes a list in, as the driver does.
     pub fn apply_list(&mut self, list: &EndpointList) {
         let change = self.directory.apply(list);
--- a/src/net/platform/tests.rs
+++ b/src/net/platform/tests.rs
@@ -76,3 +76,17 @@
         assert!(taken > 0 && rejected > 0, "{taken} {rejected}");
     });
 }
+
+/// Guards against a successor that starts with nothing learned: the configuration's tenants have no
+/// allowance, and an infinite sum was written as null.
+#[test]
+fn a_successor_restores_what_was_learned_of_tenants_without_an_allowance() {
+    let config = config::parse(configuration().as_bytes(), |_| None).expect("a configuration");
+    let mut predecessor = start_play(&config);
+    predecessor.play_requests();
+    let learned = predecessor.balancer().snapshot();
+    assert!(
+        start_play(&config).balancer().restore(&learned),
+        "{learned}"
+    );
+}
