Refuse learned state with a fraction outside 0 to 1

A fraction of failures of 1.8e308 in a handover note, or in the learned state of another process, gives an endpoint an infinite weight, and the weighted choice panics at requests: their clients get no answer. No build writes such a state.

--- a/crates/decay/src/lib.rs
+++ b/crates/decay/src/lib.rs
@@ -15,7 +15,8 @@
     clippy::missing_panics_doc
 )]
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// A sum whose additions decay exponentially, by a factor of e in each time constant `tau`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -69,10 +70,21 @@
 /// while none comes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct DecayingFraction {
+    #[serde(deserialize_with = "fraction")]
     part: f64,
     at: f64,
 }
 
+/// Reads a stored fraction. One above 1 would give what it weighs a weight without bound.
+fn fraction<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    let value = f64::deserialize(from)?;
+    if (0.0..=1.0).contains(&value) {
+        Ok(value)
+    } else {
+        Err(D::Error::custom(format!("{value} is not from 0 to 1")))
+    }
+}
+
 impl DecayingFraction {
     /// The fraction, from 0 to 1, decayed by a factor of e in each `tau` without events.
     pub fn read(&self, now: f64, tau: f64) -> f64 {
--- a/crates/decay/tests/decay.rs
+++ b/crates/decay/tests/decay.rs
@@ -32,6 +32,23 @@
     assert!(part.read(5_001.0, 1e3) < 0.01);
 }
 
+/// Guards against a stored fraction that gives an endpoint an infinite weight.
+#[test]
+fn a_stored_fraction_is_from_0_to_1() {
+    for part in [0.0, 0.25, 1.0] {
+        let stored = format!(r#"{{"part":{part:?},"at":5.0}}"#);
+        let read: DecayingFraction = serde_json::from_str(&stored).expect(&stored);
+        assert_eq!(read.read(5.0, 1.0), part);
+        assert_eq!(serde_json::to_string(&read).expect("JSON"), stored);
+    }
+    for part in ["1.5", "-0.5", "1e300"] {
+        let stored = format!(r#"{{"part":{part},"at":5.0}}"#);
+        let read = serde_json::from_str::<DecayingFraction>(&stored);
+        let error = read.expect_err(&stored).to_string();
+        assert!(error.contains("is not from 0 to 1"), "{error}");
+    }
+}
+
 #[test]
 fn a_mean_is_that_of_all_while_there_are_few() {
     let mut mean = WindowedMean::default();
--- a/src/net/platform/tests.rs
+++ b/src/net/platform/tests.rs
@@ -5,10 +5,14 @@
 use crate::net::discovery::Directory;
 use crate::supervisor::tests::run_local;
 use dewrun_balancer::Balancer;
+use dewrun_handover::{siblings, Note, Reader};
 use dewrun_test_support::{mutation_count, Mutator};
 
 const SEED: u64 = 20_261_203;
 const DEFAULT_CONFIGURATIONS: usize = 3_000;
+const DEFAULT_NOTES: usize = 3_000;
+/// When the notes are written, in Unix milliseconds.
+const NOTE_MS: f64 = 1_700_000_001_000.0;
 const KNOWN: &str = r#"{"index":41,"snapshot":true,"endpoints":[
 {"name":"a","address":"127.0.0.1:9001","zone":"z","type":"k","group":3,"status":"ready","weight":1.5,"since_ms":1700000000000},
 {"name":"b","address":"[::1]:9002","zone":"y","group":9,"status":"draining","weight":0.25},
@@ -90,3 +94,54 @@
         "{learned}"
     );
 }
+
+/// Guards against learned state of another process at which each choice of an endpoint panics.
+#[test]
+fn learned_state_with_an_impossible_fraction_is_refused() {
+    let config = config::parse(configuration().as_bytes(), |_| None).expect("a configuration");
+    let mut writer = start_play(&config);
+    writer.play_requests();
+    let learned = writer.balancer().snapshot();
+    let (before, after) = learned.rsplit_once(r#""part":"#).expect("a fraction");
+    let (_, after) = after.split_once(',').expect("the next field");
+    let impossible = format!(r#"{before}"part":{:e},{after}"#, f64::MAX);
+    let mut reader = start_play(&config);
+    assert!(!reader.balancer().restore(&impossible), "it is refused");
+    reader.play_requests();
+}
+
+/// Guards against a note that ends the process which restores or counts it, or its requests.
+#[test]
+fn mutated_notes_and_learned_states_do_no_harm() {
+    let config = config::parse(configuration().as_bytes(), |_| None).expect("a configuration");
+    let mut writer = start_play(&config);
+    writer.play_requests();
+    let learned = writer.balancer().snapshot();
+    let in_flight = writer.balancer().in_flight();
+    let note = Note::new(4_711, NOTE_MS, "s", in_flight, learned.clone());
+    let originals = [note.to_json().into_bytes(), learned.into_bytes()];
+    let (mut restored, mut refused) = (0, 0);
+    let count = mutation_count(DEFAULT_NOTES);
+    Mutator::new(SEED).play_texts(&originals, count, |text| {
+        let text = String::from_utf8_lossy(text);
+        let mut play = start_play(&config);
+        let limit_count = play.balancer().in_flight().len();
+        let note = Note::parse(&text).ok();
+        let reader = Reader {
+            process_id: 1,
+            serves: "s",
+            now_ms: NOTE_MS,
+        };
+        let found = siblings(note.as_slice(), &reader, limit_count);
+        let balancer = play.balancer();
+        balancer.set_co_serving(found.count, &found.in_flight);
+        let learned = note.as_ref().map_or(&*text, |note| &note.learned_state);
+        if balancer.restore(learned) {
+            restored += 1;
+        } else {
+            refused += 1;
+        }
+        play.play_requests();
+    });
+    assert!(restored > 0 && refused > 0, "{restored} {refused}");
+}
