Prefer no ejected endpoint to a warming one that answers and waits for a token

One endpoint reset every request and was ejected, the other had just started and answered in 0 to 11 ms; most requests went to the ejected one, and those that may not run twice were lost there.

Cause: collect_candidates left out an endpoint without a slow-start token before select_among saw it, so that "no endpoint is eligible" was read as "nothing else is left" and ejections were ignored. record_subset_capacity then noted the ejected endpoint's capacity (1.0 for 0.32), which kept the throughput, and the tokens, at a third.

Why this works: while an endpoint that has answered since it started waits for a token, ejections are not ignored; the request is rejected unsent, or is a probation. Such endpoints count in the capacity of the doubt too.

--- a/crates/balancer/src/selection.rs
+++ b/crates/balancer/src/selection.rs
@@ -11,7 +11,6 @@
 };
 use crate::request::PendingRequest;
 use crate::retry::is_endpoint_permitted;
-use crate::slow_start::WarmingCapacity;
 use crate::{Action, EndpointState, EndpointStatus, Millis};
 use rand::seq::IndexedRandom;
 
@@ -82,6 +81,8 @@
     own_zone_capacity: f64,
     own_zone_health: f64,
     ejected_capacity: f64,
+    /// Of endpoints that answer and only wait for a slow-start token.
+    waiting_capacity: f64,
     probation: Option<DueProbation>,
 }
 
@@ -158,7 +159,11 @@
             self.learned.throughput.read(self.now, THROUGHPUT_MS) * 1000.0 / THROUGHPUT_MS;
         for n in 0..self.endpoints.order.len() {
             let index = self.endpoints.order[n];
-            if !self.is_available(request, index) || !self.may_bear_more(index, served_per_s) {
+            if !self.is_available(request, index) {
+                continue;
+            }
+            if !self.may_bear_more(index, served_per_s) {
+                candidates.waiting_capacity += self.waiting_capacity(index, request.class());
                 continue;
             }
             self.collect_candidate(request, index, candidates, actions);
@@ -174,24 +179,6 @@
         is_endpoint_permitted(class, request, info) && info.state == EndpointState::Ready
     }
 
-    /// Whether an endpoint that warms up may get another attempt by its slow-start tokens.
-    fn may_bear_more(&mut self, index: usize, served_per_s: f64) -> bool {
-        let rules = &self.settings.rules;
-        let endpoint = &mut self.endpoints.list[index];
-        let factor = endpoint.slow_start_factor(self.now, rules);
-        if factor >= 1.0 {
-            return true;
-        }
-        let warming = WarmingCapacity {
-            factor,
-            full_capacity: endpoint.weight(),
-            served_per_s,
-            fleet_size: f64::from(self.settings.fleet_size),
-            co_serving: self.co_serving,
-        };
-        endpoint.slow_start.refill(self.now, warming, rules)
-    }
-
     fn collect_candidate(
         &mut self,
         request: &PendingRequest,
@@ -255,7 +242,8 @@
         if candidates.probation.is_some() {
             self.eligible_count += 1;
         }
-        if candidates.eligible.is_empty() || self.are_ejections_doubted(candidates) {
+        let has_none_well = candidates.eligible.is_empty() && candidates.waiting_capacity == 0.0;
+        if has_none_well || self.are_ejections_doubted(candidates) {
             self.ignore_ejections(request, candidates);
         } else if let Some(due) = candidates.probation {
             self.start_probation(due.index, request, actions);
@@ -288,7 +276,8 @@
 
     /// Whether so much is ejected that the rest cannot bear the load.
     fn are_ejections_doubted(&self, candidates: &Candidates) -> bool {
-        let capacity = candidates.ejected_capacity + candidates.capacity;
+        let capacity =
+            candidates.ejected_capacity + candidates.capacity + candidates.waiting_capacity;
         candidates.ejected_capacity > DOUBTED_EJECTED_FRACTION * capacity
             && self.learned.tier.normalized_latency > DOUBTED_NORMALIZED_LATENCY
     }
--- a/crates/balancer/src/slow_start.rs
+++ b/crates/balancer/src/slow_start.rs
@@ -4,6 +4,8 @@
 //! bounds what this process sends, because an endpoint that gets a multiple of its present
 //! capacity for a while falls over.
 
+use crate::balancer::Balancer;
+use crate::selection::unresponsive_after;
 use crate::{Millis, Rules};
 
 /// Fraction of what overloads a warming endpoint that this process uses.
@@ -44,6 +46,8 @@
 pub(crate) struct SlowStart {
     tokens: f64,
     refilled_at: Millis,
+    /// The endpoint has answered this process since it started.
+    has_answered: bool,
 }
 
 impl SlowStart {
@@ -51,6 +55,7 @@
         SlowStart {
             tokens,
             refilled_at: now,
+            has_answered: false,
         }
     }
 
@@ -59,6 +64,11 @@
         self.tokens -= 1.0;
     }
 
+    /// Takes in an answer of the endpoint.
+    pub(crate) fn record_answer(&mut self) {
+        self.has_answered = true;
+    }
+
     /// Refills the bucket by the time since the last refill; true if a request may be sent.
     pub(crate) fn refill(&mut self, now: Millis, warming: WarmingCapacity, rules: &Rules) -> bool {
         let capacity_per_s = warming.factor * warming.full_capacity * warming.served_per_s;
@@ -74,3 +84,40 @@
         self.tokens >= 1.0
     }
 }
+
+impl Balancer {
+    /// Whether an endpoint that warms up may get another attempt by its slow-start tokens.
+    pub(crate) fn may_bear_more(&mut self, index: usize, served_per_s: f64) -> bool {
+        let rules = &self.settings.rules;
+        let endpoint = &mut self.endpoints.list[index];
+        let factor = endpoint.slow_start_factor(self.now, rules);
+        if factor >= 1.0 {
+            return true;
+        }
+        let warming = WarmingCapacity {
+            factor,
+            full_capacity: endpoint.weight(),
+            served_per_s,
+            fleet_size: f64::from(self.settings.fleet_size),
+            co_serving: self.co_serving,
+        };
+        endpoint.slow_start.refill(self.now, warming, rules)
+    }
+
+    /// The capacity of an endpoint that waits for a token; 0 if it is left out anyway, or has not
+    /// shown that it answers. While it has any, ejected endpoints get no requests but probation.
+    pub(crate) fn waiting_capacity(&self, index: usize, class: usize) -> f64 {
+        if !self.endpoints.list[index].slow_start.has_answered || self.is_left_out(index, class) {
+            return 0.0;
+        }
+        self.endpoints.list[index].capacity(self.now, &self.settings.rules)
+    }
+
+    /// Whether an endpoint gets no requests by its weight: it is ejected or unresponsive.
+    fn is_left_out(&self, index: usize, class: usize) -> bool {
+        let after = unresponsive_after(self.learned.latencies[class].mean);
+        let endpoint = &self.endpoints.list[index];
+        endpoint.ejection(class).is_some()
+            || endpoint.is_unresponsive(self.now, after, self.last_answer_at)
+    }
+}
--- /dev/null
+++ b/crates/balancer/tests/warming.rs
@@ -0,0 +1,225 @@
+//! An endpoint that has just started while no other is well, in simulated time: the verdict is the
+//! same on every machine.
+
+mod common;
+use common::*;
+use dewrun_balancer::*;
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+const CLIENTS: usize = 16;
+const DEADLINE_MS: Millis = 4_000.0;
+/// A client calls again after this time, whatever came of its last call.
+const PAUSE_MS: Millis = 20.0;
+const MAX_SERVICE_MS: Millis = 11.0;
+const RESET_MS: Millis = 1.0;
+const SECOND_MS: Millis = 1_000.0;
+const STARTED_AT_MS: Millis = 1_000.0;
+/// When the list changes: so early that the rate of served requests is not learned yet.
+const CHANGED_AT_MS: Millis = 2_500.0;
+const SECONDS_AFTER: usize = 8;
+const NEW: EndpointId = 9;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Change,
+    Call,
+    Done { request: u64 },
+}
+
+/// Clients before endpoints, of which one resets every request from the change on.
+struct Site {
+    proxy: Proxy,
+    after: Vec<EndpointInfo>,
+    resets: Option<EndpointId>,
+    random: Xoshiro256PlusPlus,
+    /// Times in nanoseconds, so that they can be ordered.
+    steps: BinaryHeap<Reverse<(u64, u64, Step)>>,
+    order: u64,
+    in_flight: BTreeMap<u64, Sent>,
+    /// Calls, and those that were served, by seconds since the change.
+    asked: [usize; SECONDS_AFTER],
+    served: [usize; SECONDS_AFTER],
+    is_ejected: bool,
+    has_new_answered: bool,
+    /// Attempts at the endpoint that resets: probations, and others while it was ejected and the
+    /// new one, if any, had answered.
+    probations: usize,
+    others_while_ejected: usize,
+}
+
+impl Site {
+    fn play(before: u32, after: Vec<EndpointInfo>, resets: Option<EndpointId>, seed: u64) -> Site {
+        let settings = Settings {
+            has_long_requests: false,
+            tick_ms: 0.001,
+            rules: Rules {
+                slow_start_ms: 10_000.0,
+                ..settings().rules
+            },
+            ..settings()
+        };
+        let mut site = Site {
+            proxy: Proxy::seeded(settings, seed, &endpoints(before)),
+            after,
+            resets,
+            random: Xoshiro256PlusPlus::seed_from_u64(seed),
+            steps: BinaryHeap::new(),
+            order: 0,
+            in_flight: BTreeMap::new(),
+            asked: [0; SECONDS_AFTER],
+            served: [0; SECONDS_AFTER],
+            is_ejected: false,
+            has_new_answered: false,
+            probations: 0,
+            others_while_ejected: 0,
+        };
+        for client in 0..CLIENTS {
+            site.at(STARTED_AT_MS + client as f64, Step::Call);
+        }
+        site.at(CHANGED_AT_MS, Step::Change);
+        site.run();
+        site
+    }
+
+    fn at(&mut self, time: Millis, step: Step) {
+        self.order += 1;
+        self.steps
+            .push(Reverse(((time * 1e6) as u64, self.order, step)));
+    }
+
+    fn run(&mut self) {
+        let end = CHANGED_AT_MS + SECONDS_AFTER as f64 * SECOND_MS;
+        while let Some(Reverse((time, _, step))) = self.steps.pop() {
+            self.proxy.now = time as f64 / 1e6;
+            if self.proxy.now >= end {
+                break;
+            }
+            match step {
+                Step::Change => self.proxy.list(ListKind::Full, &self.after),
+                Step::Call => self.call(),
+                Step::Done { request } => self.done(request),
+            }
+        }
+    }
+
+    fn second(&self) -> Option<usize> {
+        let elapsed = self.proxy.now - CHANGED_AT_MS;
+        (elapsed >= 0.0).then_some((elapsed / SECOND_MS) as usize)
+    }
+
+    fn call(&mut self) {
+        if let Some(second) = self.second() {
+            self.asked[second] += 1;
+        }
+        let sent = self.proxy.ask(0, 0, DEADLINE_MS);
+        self.go_on(sent);
+    }
+
+    /// Sends an attempt, or lets the client of a request that is over pause.
+    fn go_on(&mut self, sent: Option<Sent>) {
+        let Some(sent) = sent else {
+            self.at(self.proxy.now + PAUSE_MS, Step::Call);
+            return;
+        };
+        let latency = if self.is_reset(sent.to) {
+            self.count_at_faulty();
+            RESET_MS
+        } else {
+            self.random.random_range(0.0..MAX_SERVICE_MS)
+        };
+        self.in_flight.insert(sent.request, sent);
+        let request = sent.request;
+        self.at(self.proxy.now + latency, Step::Done { request });
+    }
+
+    fn is_reset(&self, endpoint: EndpointId) -> bool {
+        self.second().is_some() && self.resets == Some(endpoint)
+    }
+
+    fn has_new(&self) -> bool {
+        self.after.iter().any(|info| info.id == NEW)
+    }
+
+    fn count_at_faulty(&mut self) {
+        let is_probation = self.proxy.last.iter().any(|action| {
+            matches!(action, Action::Send { connect_timeout_ms, .. } if *connect_timeout_ms > 0.0)
+        });
+        if is_probation {
+            self.probations += 1;
+        } else if self.is_ejected && (self.has_new_answered || !self.has_new()) {
+            self.others_while_ejected += 1;
+        }
+    }
+
+    fn done(&mut self, request: u64) {
+        let Some(sent) = self.in_flight.remove(&request) else {
+            return;
+        };
+        let outcome = if self.is_reset(sent.to) {
+            Outcome::Reset
+        } else {
+            Outcome::Ok
+        };
+        let next = self.proxy.end(sent, outcome);
+        let is_ejected = |action: &Action| {
+            matches!(action, Action::StatusChanged { endpoint, status: EndpointStatus::Ejected, .. }
+                if Some(*endpoint) == self.resets)
+        };
+        let is_newly_ejected = self.proxy.last.iter().any(is_ejected);
+        self.is_ejected |= is_newly_ejected;
+        if outcome == Outcome::Ok {
+            self.has_new_answered |= sent.to == NEW;
+            if let Some(second) = self.second() {
+                self.served[second] += 1;
+            }
+        }
+        self.go_on(next);
+    }
+
+    fn served_fraction(&self, second: usize) -> f64 {
+        self.served[second] as f64 / self.asked[second] as f64
+    }
+
+    fn case(&self, seed: u64) -> String {
+        format!(
+            "seed {seed}: served {:?} of {:?}; while ejected {} probations and {} others",
+            self.served, self.asked, self.probations, self.others_while_ejected
+        )
+    }
+}
+
+fn new_endpoint() -> EndpointInfo {
+    EndpointInfo {
+        started_at: Some(CHANGED_AT_MS),
+        ..endpoint(NEW)
+    }
+}
+
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=5;
+
+/// Guards against requests for an ejected endpoint while a new one only waits for a token.
+#[test]
+fn an_ejected_endpoint_gets_only_probations_while_a_new_one_is_ready() {
+    for seed in SEEDS {
+        let site = Site::play(2, vec![endpoint(1), new_endpoint()], Some(1), seed);
+        let case = site.case(seed);
+        println!("{case}");
+        assert!(site.is_ejected && site.probations > 0, "{case}");
+        assert_eq!(site.others_while_ejected, 0, "{case}");
+    }
+}
+
+/// Guards panic routing where nothing else is left: an ejected endpoint is better than none.
+#[test]
+fn an_ejected_endpoint_is_used_where_no_other_is_ready() {
+    for seed in SEEDS {
+        let site = Site::play(2, vec![endpoint(1)], Some(1), seed);
+        let case = site.case(seed);
+        println!("{case}");
+        assert!(site.is_ejected, "{case}");
+        assert!(site.others_while_ejected > 100, "{case}");
+    }
+}
