Let a warming endpoint's answers count where no warm endpoint is left

Cause: slow-start tokens came from the time since the start and the served rate for each unit of capacity, with a time constant of 3 s; the endpoint's own answers counted nothing.

Why this works: where no endpoint is left that is ready, warm, not ejected and not unresponsive, what the endpoint answered this process within twice the mean latency (250 ms, less two standard deviations; the variance of a decaying count is half of its mean) allows two thirds of the overload multiple of that rate. With the burst of a quarter of a window that is 2.5 times what it bears, of 3. While a warm one is left nothing changes.

--- a/crates/balancer/src/endpoint.rs
+++ b/crates/balancer/src/endpoint.rs
@@ -152,8 +152,8 @@
     }
 
     /// Takes in the latency of a served request, as a multiple of the mean of its class.
-    pub(crate) fn record_latency(&mut self, ratio: f64) {
-        self.slow_start.record_answer();
+    pub(crate) fn record_latency(&mut self, now: Millis, ratio: f64) {
+        self.slow_start.record_answer(now, ratio);
         let stats = &mut self.stats;
         stats.latency_samples = (stats.latency_samples + 1.0).min(MAX_LATENCY_SAMPLES);
         stats.latency_ratio += (ratio.min(MAX_LATENCY_RATIO) - stats.latency_ratio)
--- a/crates/balancer/src/outlier.rs
+++ b/crates/balancer/src/outlier.rs
@@ -243,7 +243,8 @@
             self.judge_endpoint(index, ended, time, &mut verdict, actions);
         }
         if ended.is_success() && ended.expected_latency > 0.0 {
-            self.endpoints.list[index].record_latency(ended.latency / ended.expected_latency);
+            let ratio = ended.latency / ended.expected_latency;
+            self.endpoints.list[index].record_latency(self.now, ratio);
         }
         verdict
     }
--- a/crates/balancer/src/selection.rs
+++ b/crates/balancer/src/selection.rs
@@ -162,7 +162,7 @@
             if !self.is_available(request, index) {
                 continue;
             }
-            if !self.may_bear_more(index, served_per_s) {
+            if !self.may_bear_more(index, request.class(), served_per_s) {
                 candidates.waiting_capacity += self.waiting_capacity(index, request.class());
                 continue;
             }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -34,3 +34,11 @@
     let findings: Vec<String> = outcome.findings.iter().map(ToString::to_string).collect();
     assert!(findings.is_empty(), "{findings:#?}");
 }
+
+/// Guards against requests for an ejected endpoint while a new one that is well waits for tokens.
+#[test]
+fn a_soak_of_seed_6005_finds_nothing() {
+    let outcome = play(DEWRUN, 6005, Duration::from_secs(12));
+    let findings: Vec<String> = outcome.findings.iter().map(ToString::to_string).collect();
+    assert!(findings.is_empty(), "{findings:#?}");
+}
