--- a/crates/loadtest/src/main.rs
+++ b/crates/loadtest/src/main.rs
@@ -105,8 +105,11 @@
     },
     /// Play seeded schedules of reloads, list changes, faults and signals against real processes
     ///
-    /// Exits with 1 if anything was found.
+    /// Exits with 1 if anything was found, and with 2 if the program cannot be started.
     Soak {
+        /// What the seeds are played as
+        #[arg(long, value_enum, default_value_t)]
+        plan: soak::Plan,
         /// The seeds, as A..B: both are played
         #[arg(long, value_parser = parse_seeds, default_value = "1..10")]
         seeds: RangeInclusive<u64>,
@@ -388,20 +391,28 @@
             })
         }
         Command::Soak {
+            plan,
             seeds,
             seconds,
             minutes,
             logs,
             dewrun,
         } => {
-            let is_clean = soak::run(&soak::Options {
+            let played = soak::run(&soak::Options {
                 dewrun,
+                plan,
                 seeds,
                 duration: Duration::from_secs(seconds.clamp(2, SPAN_MOST)),
                 limit: Duration::from_secs(minutes * 60),
                 logs,
             });
-            ExitCode::from(u8::from(!is_clean))
+            match played {
+                Ok(is_clean) => ExitCode::from(u8::from(!is_clean)),
+                Err(why) => {
+                    eprintln!("dewrun-loadtest: {why}");
+                    ExitCode::from(2)
+                }
+            }
         }
         Command::Load {
             address,
--- a/crates/loadtest/src/soak.rs
+++ b/crates/loadtest/src/soak.rs
@@ -7,16 +7,27 @@
 //! The same seed draws the same schedule; what the processes make of it depends on the machine.
 
 pub mod client;
+pub mod cold;
+pub mod discovery;
+pub mod disturbance;
 pub mod judge;
+pub mod notice;
+mod process;
+pub mod records;
+pub mod report;
 pub mod schedule;
 mod site;
 pub mod stand_in;
 
-use judge::Finding;
-use schedule::Schedule;
+use clap::ValueEnum;
+use disturbance::Disturbances;
+use judge::{Finding, Second};
+use schedule::{Schedule, Step};
 use std::ops::RangeInclusive;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
+use std::process::Command;
 use std::time::{Duration, Instant};
+use std::{fmt, io};
 
 /// How the processes are run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +47,41 @@
             Form::Fleet
         }
     }
+
+    /// How many processes it has.
+    pub fn processes(self) -> usize {
+        match self {
+            Form::Platform => 1,
+            Form::Fleet => 2,
+        }
+    }
+}
+
+/// What a seed is played as.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
+pub enum Plan {
+    /// Each process runs until the end.
+    #[default]
+    Reloads,
+    /// The same steps, and between them processes are killed, restarted and get signals in series.
+    Kills,
+}
+
+impl Plan {
+    /// Its name on the command line.
+    fn name(self) -> String {
+        let value = self.to_possible_value().expect("no plan is skipped");
+        value.get_name().to_string()
+    }
+
+    /// The schedule of a seed.
+    pub fn draw(self, seed: u64, duration: Duration) -> Schedule {
+        let schedule = Schedule::draw(seed, duration);
+        match self {
+            Plan::Reloads => schedule,
+            Plan::Kills => schedule.with(Disturbances::draw(seed, Form::of(seed), duration)),
+        }
+    }
 }
 
 /// What is played.
@@ -43,6 +89,8 @@
 pub struct Options {
     /// The program under test.
     pub dewrun: String,
+    /// What the seeds are played as.
+    pub plan: Plan,
     /// The seeds, each of which is played once.
     pub seeds: RangeInclusive<u64>,
     /// For how long clients call before the shutdown.
@@ -64,6 +112,10 @@
     pub requests: usize,
     /// Those answered with 200.
     pub served: usize,
+    /// The steps, each with when it was taken.
+    pub steps: Vec<(Duration, Step)>,
+    /// What was served in each second.
+    pub seconds: Vec<Second>,
     /// What the judge found.
     pub findings: Vec<Finding>,
     /// The logs of the processes.
@@ -71,22 +123,62 @@
 }
 
 /// Plays one seed.
-pub fn play(dewrun: &str, seed: u64, duration: Duration) -> Outcome {
+pub fn play(dewrun: &str, plan: Plan, seed: u64, duration: Duration) -> Outcome {
     let form = Form::of(seed);
-    let schedule = Schedule::draw(seed, duration);
-    let records = site::Site::start(dewrun, form).play(&schedule);
+    let schedule = plan.draw(seed, duration);
+    let records = site::Site::start(dewrun, form, schedule.is_polled).play(&schedule);
     Outcome {
         seed,
         form,
         requests: records.calls.len(),
         served: records.served(),
         findings: judge::judge(&records),
+        seconds: judge::seconds(&records),
+        steps: records.steps,
         logs: records.logs,
     }
 }
 
+/// The program under test cannot be started.
+#[derive(Debug)]
+pub struct ProgramError {
+    program: String,
+    source: io::Error,
+}
+
+impl fmt::Display for ProgramError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ProgramError { program, source } = self;
+        write!(
+            f,
+            "cannot start {program}: {source}; name the program with --dewrun"
+        )
+    }
+}
+
+impl std::error::Error for ProgramError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        Some(&self.source)
+    }
+}
+
+/// Whether a program can be started at all.
+fn check_program(program: &str) -> Result<(), ProgramError> {
+    let started = Command::new(program).arg("--version").output();
+    let checked = started.map(|_| ());
+    checked.map_err(|source| ProgramError {
+        program: program.to_string(),
+        source,
+    })
+}
+
 /// Plays the seeds one after the other, and prints a line for each. True if nothing was found.
-pub fn run(options: &Options) -> bool {
+///
+/// # Errors
+///
+/// The program under test cannot be started.
+pub fn run(options: &Options) -> Result<bool, ProgramError> {
+    check_program(&options.dewrun)?;
     let begun = Instant::now();
     let (mut played, mut failed) = (0, 0);
     for seed in options.seeds.clone() {
@@ -94,48 +186,14 @@
             println!("not played for want of time: seeds from {seed} on");
             break;
         }
-        let outcome = play(&options.dewrun, seed, options.duration);
+        let outcome = play(&options.dewrun, options.plan, seed, options.duration);
         played += 1;
         failed += usize::from(!outcome.findings.is_empty());
-        report(&outcome, options.duration);
+        report::print(&outcome, options);
         if let Some(folder) = &options.logs {
-            write_logs(&outcome, folder);
+            report::write_logs(&outcome, folder);
         }
     }
     println!("{played} seeds played, {failed} failed");
-    failed == 0
-}
-
-fn write_logs(outcome: &Outcome, folder: &Path) {
-    for (process, log) in outcome.logs.iter().enumerate() {
-        let file = folder.join(format!("seed{}-{process}.log", outcome.seed));
-        let written = std::fs::create_dir_all(folder).and_then(|()| std::fs::write(&file, log));
-        if let Err(error) = written {
-            println!("{}: {error}", file.display());
-        }
-    }
-}
-
-fn report(outcome: &Outcome, duration: Duration) {
-    const MAX_LINES: usize = 20;
-    let Outcome {
-        seed,
-        form,
-        requests,
-        served,
-        findings,
-        ..
-    } = outcome;
-    let verdict = if findings.is_empty() { "ok" } else { "FAILED" };
-    println!("seed {seed} {form:?}: {verdict}, {served} of {requests} requests served");
-    for finding in findings.iter().take(MAX_LINES) {
-        println!("  {finding}");
-    }
-    if !findings.is_empty() {
-        println!(
-            "  {} findings; again: dewrun-loadtest soak --seeds {seed}..{seed} --seconds {}",
-            findings.len(),
-            duration.as_secs()
-        );
-    }
+    Ok(failed == 0)
 }
--- a/crates/loadtest/src/soak/client.rs
+++ b/crates/loadtest/src/soak/client.rs
@@ -11,9 +11,17 @@
 
 /// A client waits so long between two requests.
 const THINK_TIME: Duration = Duration::from_millis(5);
+/// One that rests waits so long. An installation closes connections that have been idle for 0.5 s
+/// during a shutdown, so these cross no close there.
+const RESTING_THINK_TIME: Duration = Duration::from_millis(300);
+/// One client of so many rests, where any does.
+const RESTING_EVERY: usize = 4;
 /// A client that was refused a connection waits so long.
 const CONNECT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Whether clients are sent to a process; they share it with the site.
+pub type Door = Arc<AtomicBool>;
+
 /// How one request ended for its client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -34,6 +42,8 @@
     pub process: usize,
     /// It was the first on its connection.
     pub is_first: bool,
+    /// When its connection came up.
+    pub connected: Instant,
     /// When it was written.
     pub begun: Instant,
     /// When it ended.
@@ -50,16 +60,25 @@
 }
 
 impl Clients {
-    /// Starts so many clients, spread evenly over the processes.
-    pub fn start(count: usize, processes: &[SocketAddr]) -> Clients {
+    /// Starts so many clients, spread evenly over the processes, to which they go while the door is
+    /// open. Some rest between two requests, if that is wanted.
+    pub fn start(count: usize, processes: &[(SocketAddr, Door)], some_rest: bool) -> Clients {
         let calls: Arc<Mutex<Vec<Call>>> = Arc::default();
         let is_over: Arc<AtomicBool> = Arc::default();
         let threads = (0..count).map(|number| {
             let process = number % processes.len();
+            let rests = some_rest && number / processes.len() % RESTING_EVERY == 0;
+            let think_time = if rests {
+                RESTING_THINK_TIME
+            } else {
+                THINK_TIME
+            };
             let client = Client {
                 number,
+                think_time,
                 process,
-                address: processes[process],
+                address: processes[process].0,
+                door: processes[process].1.clone(),
                 calls: calls.clone(),
                 is_over: is_over.clone(),
                 sent: 0,
@@ -85,8 +104,10 @@
 
 struct Client {
     number: usize,
+    think_time: Duration,
     process: usize,
     address: SocketAddr,
+    door: Door,
     calls: Arc<Mutex<Vec<Call>>>,
     is_over: Arc<AtomicBool>,
     sent: usize,
@@ -95,9 +116,11 @@
 impl Client {
     fn run(mut self) {
         while !self.is_over.load(Ordering::SeqCst) {
-            match TcpStream::connect(self.address) {
-                Ok(stream) => self.call_on(&stream),
-                Err(_) => thread::sleep(CONNECT_INTERVAL),
+            let is_open = self.door.load(Ordering::SeqCst);
+            let connected = is_open.then(|| TcpStream::connect(self.address));
+            match connected {
+                Some(Ok(stream)) => self.call_on(&stream),
+                Some(Err(_)) | None => thread::sleep(CONNECT_INTERVAL),
             }
         }
     }
@@ -106,6 +129,7 @@
     fn call_on(&mut self, stream: &TcpStream) {
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+        let connected = Instant::now();
         let mut is_first = true;
         while !self.is_over.load(Ordering::SeqCst) {
             let (id, effect) = self.next_request();
@@ -119,20 +143,26 @@
             let end = answer.map_or(CallEnd::Lost, |answer| {
                 CallEnd::Answered(answer.status(), answer.body)
             });
+            let is_served = matches!(end, CallEnd::Answered(200, _));
             self.calls.lock().unwrap().push(Call {
                 id,
                 effect,
                 process: self.process,
                 is_first,
+                connected,
                 begun,
                 ended: Instant::now(),
                 end,
             });
             if closes {
+                // One that is refused does not come back at once.
+                if !is_served {
+                    thread::sleep(THINK_TIME);
+                }
                 return;
             }
             is_first = false;
-            thread::sleep(THINK_TIME);
+            thread::sleep(self.think_time);
         }
     }
 
--- a/crates/loadtest/src/soak/schedule.rs
+++ b/crates/loadtest/src/soak/schedule.rs
@@ -1,5 +1,7 @@
 //! What happens in one play of the soak, drawn from its seed.
 
+use super::discovery::Reach;
+use super::disturbance::Disturbances;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -82,6 +84,22 @@
     HangUp,
     /// Clients that send nothing connect, so many.
     Crowd(usize),
+    /// Discovery keeps its watches open and says nothing more on them.
+    Mute,
+    /// Discovery takes calls in another way.
+    Discovery(Reach),
+    /// An endpoint ends its process.
+    EndpointEnds(usize),
+    /// An endpoint that has ended starts again, cold.
+    EndpointStarts(usize),
+    /// A process gets a signal, as `-HUP`.
+    Signal(usize, &'static str),
+    /// A process is told by its second address to drain.
+    Drain(usize),
+    /// A process is ended by SIGKILL, with no SIGTERM before, and started again.
+    Kill(usize),
+    /// What SIGTERM has left of a process is ended by SIGKILL, and the process is started again.
+    Replace(usize),
 }
 
 /// How the processes are told to end.
@@ -91,6 +109,8 @@
     pub reload_before_ms: Option<u64>,
     /// A second signal, so long after SIGTERM.
     pub second_signal: Option<(&'static str, u64)>,
+    /// Each further process is told to end so long after the one before.
+    pub apart_ms: u64,
 }
 
 /// One play.
@@ -102,6 +122,10 @@
     pub duration: Duration,
     /// The end.
     pub ending: Ending,
+    /// Lists are polled, where the form has discovery.
+    pub is_polled: bool,
+    /// Some clients rest on their connections.
+    pub some_rest: bool,
 }
 
 impl Schedule {
@@ -123,8 +147,20 @@
             steps,
             duration,
             ending: draw_ending(&mut rng),
+            is_polled: false,
+            some_rest: false,
         }
     }
+
+    /// The same with disturbances between its steps.
+    pub fn with(mut self, disturbances: Disturbances) -> Schedule {
+        self.steps.extend(disturbances.steps);
+        self.steps.sort_by_key(|(at_ms, _)| *at_ms);
+        self.ending.apart_ms = disturbances.apart_ms;
+        self.is_polled = disturbances.is_polled;
+        self.some_rest = true;
+        self
+    }
 }
 
 fn draw_step(rng: &mut Xoshiro256PlusPlus, has_crowd: bool) -> Step {
@@ -170,5 +206,6 @@
         second_signal: signal
             .filter(|_| signals_again)
             .map(|signal| (signal, rng.random_range(0..800))),
+        apart_ms: 0,
     }
 }
--- a/crates/loadtest/src/soak/site.rs
+++ b/crates/loadtest/src/soak/site.rs
@@ -1,14 +1,19 @@
 //! The processes of a play, what stands around them, and the steps of its schedule.
 
-use super::client::{Call, CallEnd, Clients};
-use super::schedule::{swapped, Behavior, List, Listed, Schedule, Step, ENDPOINTS};
+use super::client::{Clients, Door};
+use super::discovery::{Discovery, Reach};
+use super::disturbance::KILL_AFTER_SIGTERM;
+use super::notice::{Notice, MAX_NOTICE};
+use super::process::Process;
+use super::records::{Down, Life, ListChange, Records, Usage};
+use super::schedule::{swapped, Behavior, Ending, List, Listed, Schedule, Step, ENDPOINTS};
 use super::stand_in::{Record, StandIn};
 use super::Form;
-use crate::books::Ran;
 use dewrun_test_support::{
-    config, entry, free_addresses, list, resident_kib_of, Daemon, Discovery, Folder,
+    config, entry, free_addresses, list, resident_kib_of, try_call, until, Daemon, Folder,
 };
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,132 +27,86 @@
 const LAST_RESPONSES_TIME: Duration = Duration::from_millis(900);
 /// The platform's proxy is given as long, and a little more for the last answers.
 const PLATFORM_STOP_TIME: Duration = Duration::from_millis(3_400);
-/// A process that is still there so long after its time has failed to stop.
-const STOP_SLACK: Duration = Duration::from_secs(2);
-/// A watch that discovery ended is open again after this time, while discovery is up.
-const WATCH_REOPEN_TIME: Duration = Duration::from_secs(4);
-/// A change counts as notified so long after discovery had it, where no watch was open.
-const POLLED_NOTICE: Duration = Duration::from_secs(6);
+/// A process of an installation has read its file after this time at the latest.
+const MAX_RELOAD_TIME: Duration = Duration::from_secs(6);
+/// Longer than any play.
+const NEVER: Duration = Duration::from_secs(24 * 3_600);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// A list, and when the processes counted as notified of it.
-#[derive(Clone, Copy, Debug)]
-pub struct ListChange {
-    /// When its change began: from then on its ready endpoints may get requests.
-    pub begun: Instant,
-    /// When all counted as notified.
-    pub notified: Instant,
-    /// The list.
-    pub list: List,
-}
-
-/// How a process ended.
-#[derive(Clone, Copy, Debug)]
-pub struct Stop {
-    /// When it got SIGTERM.
-    pub begun: Instant,
-    /// How long it took; `None` if it had to be killed.
-    pub took: Option<Duration>,
-    /// How long it may take.
-    pub limit: Duration,
-    /// It ended as it should, by its exit code.
-    pub is_success: bool,
-}
-
-/// What a process held while clients called, at the end of the steps.
-#[derive(Clone, Copy, Debug)]
-pub struct Usage {
-    /// Resident memory.
-    pub memory_kib: usize,
-    /// Open descriptors.
-    pub descriptors: usize,
-}
-
-/// All that a play recorded.
-#[derive(Clone, Debug)]
-pub struct Records {
-    /// The form of the processes.
-    pub form: Form,
-    /// When clients began to call.
-    pub begun: Instant,
-    /// By clients.
-    pub calls: Vec<Call>,
-    /// By endpoints.
-    pub ran: Vec<Ran>,
-    /// The lists, in order.
-    pub lists: Vec<ListChange>,
-    /// Which endpoint misbehaved from when on; none where all behave well again.
-    pub troubles: Vec<(Instant, Option<usize>)>,
-    /// When crowds connected.
-    pub crowds: Vec<Instant>,
-    /// The end of each process.
-    pub stops: Vec<Stop>,
-    /// What each process held.
-    pub usage: Vec<Usage>,
-    /// The log of each process.
-    pub logs: Vec<String>,
-}
-
-impl Records {
-    /// Requests that were answered with 200.
-    pub fn served(&self) -> usize {
-        let is_served = |call: &&Call| matches!(call.end, CallEnd::Answered(200, _));
-        self.calls.iter().filter(is_served).count()
-    }
-}
-
 /// The processes and what stands around them.
 pub struct Site {
+    dewrun: String,
     form: Form,
     folder: Folder,
     endpoints: Vec<StandIn>,
     record: Arc<Record>,
     discovery: Discovery,
     addresses: Vec<SocketAddr>,
+    /// Whether clients are sent to a process: not before it is up.
+    doors: Vec<Door>,
     fleet: Vec<SocketAddr>,
-    processes: Vec<Daemon>,
+    /// The second address of each process, on the platform.
+    controls: Vec<SocketAddr>,
+    processes: Vec<Process>,
     /// Numbers the lists of discovery.
     index: u32,
-    hung_up: Option<Instant>,
+    is_polled: bool,
+    notice: Notice,
+    /// When discovery was last lost.
+    outage: Option<Instant>,
+    outages: Vec<(Instant, Instant)>,
     crowd: Vec<TcpStream>,
     lists: Vec<ListChange>,
     troubles: Vec<(Instant, Option<usize>)>,
     crowds: Vec<Instant>,
+    /// When each endpoint ended that is down.
+    ended: [Option<Instant>; ENDPOINTS],
+    downs: Vec<Down>,
 }
 
 impl Site {
     /// Starts everything, with all endpoints ready, and waits until the processes serve.
-    pub fn start(dewrun: &str, form: Form) -> Site {
+    pub fn start(dewrun: &str, form: Form, is_polled: bool) -> Site {
         let record: Arc<Record> = Arc::default();
         let endpoints: Vec<StandIn> = (0..ENDPOINTS)
             .map(|number| StandIn::start(number, form, &record))
             .collect();
-        let count = if form == Form::Platform { 1 } else { 2 };
+        let count = form.processes();
         let mut site = Site {
+            dewrun: dewrun.to_string(),
             form,
             folder: Folder::new(),
             endpoints,
             record,
-            discovery: Discovery::start(None),
+            discovery: Discovery::start(),
             addresses: free_addresses(count),
+            doors: (0..count).map(|_| Door::default()).collect(),
             fleet: free_addresses(count),
+            controls: free_addresses(count),
             processes: Vec::new(),
             index: 1,
-            hung_up: None,
+            is_polled,
+            notice: Notice::new(is_polled),
+            outage: None,
+            outages: Vec::new(),
             crowd: Vec::new(),
             lists: Vec::new(),
             troubles: Vec::new(),
             crowds: Vec::new(),
+            ended: [None; ENDPOINTS],
+            downs: Vec::new(),
         };
         let all = [Listed::Ready; ENDPOINTS];
         site.discovery.set(site.discovery_list(&all));
         for process in 0..count {
-            let daemon = site.launch(dewrun, process, &all);
-            site.processes.push(daemon);
-        }
-        for (daemon, address) in site.processes.iter_mut().zip(&site.addresses) {
-            daemon.comes_up(*address);
+            let daemon = site.launch(process, &all);
+            let limit = site.stop_limit();
+            site.processes.push(Process::first(daemon, process, limit));
         }
+        until("the processes are up", || {
+            assert!(site.are_running(), "they ended");
+            site.doors.iter().all(|door| door.load(Ordering::SeqCst))
+        });
         let now = Instant::now();
         site.lists.push(ListChange {
             begun: now,
@@ -157,17 +116,22 @@
         site
     }
 
-    fn launch(&self, dewrun: &str, process: usize, list: &List) -> Daemon {
+    fn launch(&self, process: usize, list: &List) -> Daemon {
         let file = self
             .folder
             .put(&file_name(process), &self.file(process, list));
         let file = file.to_str().expect("a path");
         match self.form {
-            Form::Fleet => Daemon::start(dewrun, &["serve", "--config", file], &[]),
+            Form::Fleet => Daemon::start(&self.dewrun, &["serve", "--config", file], &[]),
             Form::Platform => {
                 let listen = self.addresses[process].to_string();
-                let variables = [("NODE_CONFIG", file), ("NODE_LISTEN", listen.as_str())];
-                Daemon::start(dewrun, &[], &variables)
+                let control = self.controls[process].to_string();
+                let variables = [
+                    ("NODE_CONFIG", file),
+                    ("NODE_LISTEN", listen.as_str()),
+                    ("NODE_CONTROL", control.as_str()),
+                ];
+                Daemon::start(&self.dewrun, &[], &variables)
             }
         }
     }
@@ -175,8 +139,14 @@
     /// The configuration of a process.
     fn file(&self, process: usize, members: &List) -> String {
         if self.form == Form::Platform {
+            let mode = if self.is_polled {
+                "subscribe"
+            } else {
+                "automatic"
+            };
             return config(self.discovery.address, &list(0, true, &[]))
-                .replace("\"sockets\":1024", &format!("\"sockets\":{SOCKETS}"));
+                .replace("\"sockets\":1024", &format!("\"sockets\":{SOCKETS}"))
+                .replace("\"automatic\"", &format!("\"{mode}\""));
         }
         let members: Vec<String> = members
             .iter()
@@ -184,8 +154,11 @@
             .filter(|(listed, _)| **listed != Listed::Absent)
             .map(|(listed, endpoint)| {
                 let is_draining = *listed == Listed::Draining;
-                let address = endpoint.backend.address;
-                format!("{{ address = \"{address}\", draining = {is_draining} }}")
+                let address = endpoint.address;
+                let started_ms = endpoint.started_ms;
+                format!(
+                    "{{ address = \"{address}\", draining = {is_draining}, started_ms = {started_ms} }}"
+                )
             })
             .collect();
         let voters: Vec<String> = self.fleet.iter().map(|a| format!("\"{a}\"")).collect();
@@ -215,7 +188,10 @@
                     Listed::Ready => "ready",
                     Listed::Draining | Listed::Absent => "draining",
                 };
-                entry(&format!("b{number}"), endpoint.backend.address, status)
+                entry(&format!("b{number}"), endpoint.address, status).replace(
+                    "\"since_ms\":0",
+                    &format!("\"since_ms\":{}", endpoint.started_ms),
+                )
             })
             .collect();
         list(self.index, true, &entries)
@@ -224,29 +200,70 @@
     /// Plays a schedule to its end.
     pub fn play(mut self, schedule: &Schedule) -> Records {
         let begun = Instant::now();
-        let clients = Clients::start(CLIENTS, &self.addresses);
+        let doors = self.doors.iter().cloned();
+        let processes: Vec<_> = self.addresses.iter().copied().zip(doors).collect();
+        let clients = Clients::start(CLIENTS, &processes, schedule.some_rest);
+        let mut steps = Vec::new();
         for (at_ms, step) in &schedule.steps {
-            let at = Duration::from_millis(*at_ms);
-            thread::sleep(at.saturating_sub(begun.elapsed()));
+            self.wait_until(begun + Duration::from_millis(*at_ms));
+            steps.push((begun.elapsed(), *step));
             self.perform(step);
         }
-        thread::sleep(schedule.duration.saturating_sub(begun.elapsed()));
-        let usage = self.processes.iter().map(|process| usage(process.id()));
-        let usage = usage.collect();
-        let stops = self.stop(schedule);
+        self.wait_until(begun + schedule.duration);
+        let usage = self.usage();
+        self.stop(&schedule.ending);
+        let (lives, logs) = self.processes.into_iter().map(Process::into_lives).unzip();
+        let lives: Vec<Vec<Life>> = lives;
         let calls = clients.stop();
         Records {
             form: self.form,
             begun,
+            steps,
             calls,
             ran: self.record.ran(),
             lists: self.lists,
             troubles: self.troubles,
+            outages: self.outages,
+            downs: self.downs,
             crowds: self.crowds,
-            stops,
+            lives: lives.concat(),
             usage,
-            logs: self.processes.iter().map(Daemon::log).collect(),
+            logs,
+        }
+    }
+
+    /// What the processes hold that run.
+    fn usage(&mut self) -> Vec<Usage> {
+        let processes = self.processes.iter_mut();
+        let used = processes.filter_map(|process| {
+            let is_running = process.is_running();
+            is_running.then(|| usage(process.daemon().id()))
+        });
+        used.collect()
+    }
+
+    /// Waits, and sees when processes end.
+    fn wait_until(&mut self, at: Instant) {
+        while Instant::now() < at {
+            self.are_running();
+            let left = at.saturating_duration_since(Instant::now());
+            thread::sleep(left.min(POLL_INTERVAL));
+        }
+    }
+
+    /// Whether any process runs. Lets clients in where one has come up.
+    fn are_running(&mut self) -> bool {
+        for number in 0..self.processes.len() {
+            let door = &self.doors[number];
+            if !door.load(Ordering::SeqCst) && self.is_up(number) {
+                door.store(true, Ordering::SeqCst);
+            }
         }
+        let running = self.processes.iter_mut().filter_map(|process| {
+            let is_running = process.is_running();
+            is_running.then_some(())
+        });
+        running.count() > 0
     }
 
     fn perform(&mut self, step: &Step) {
@@ -261,11 +278,24 @@
                     self.processes[process].signal("-HUP");
                 }
             }
+            Step::EndpointEnds(number) => {
+                self.ended[*number] = Some(Instant::now());
+                self.endpoints[*number].end();
+            }
+            Step::EndpointStarts(number) => self.start_endpoint(*number),
+            Step::Signal(process, signal) => self.processes[*process].signal(signal),
+            Step::Drain(process) => self.drain(*process),
+            Step::Kill(process) | Step::Replace(process) => self.restart(*process),
             Step::Behave(number, behavior) => self.behave(*number, *behavior),
             Step::HangUp => {
-                self.hung_up = Some(Instant::now());
+                self.notice.hung_up(Instant::now());
                 self.discovery.hang_up();
             }
+            Step::Mute => {
+                self.notice.muted(Instant::now());
+                self.discovery.mute();
+            }
+            Step::Discovery(reach) => self.reach(*reach),
             Step::Crowd(count) => {
                 self.crowds.push(Instant::now());
                 let connected = (0..*count).map(|_| TcpStream::connect(self.addresses[0]));
@@ -274,6 +304,52 @@
         }
     }
 
+    /// Starts an endpoint that has ended, and has the list tell of its start.
+    fn start_endpoint(&mut self, number: usize) {
+        let Some(ended) = self.ended[number].take() else {
+            return;
+        };
+        self.endpoints[number].start_again();
+        let started = Instant::now();
+        self.change_list(self.present_list());
+        self.downs.push(Down {
+            endpoint: number,
+            ended,
+            started,
+            notified: self.lists[self.lists.len() - 1].notified,
+        });
+    }
+
+    /// Ends a process by SIGKILL, if it still runs, and starts it again. No signal meets a process
+    /// that has not come up.
+    fn restart(&mut self, number: usize) {
+        self.processes[number].kill();
+        self.doors[number].store(false, Ordering::SeqCst);
+        let daemon = self.launch(number, &self.present_list());
+        let process = &mut self.processes[number];
+        process.succeed(daemon);
+        while process.is_running() && TcpStream::connect(self.addresses[number]).is_err() {
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Whether clients may be sent to a process: on the platform once it says so, else once it
+    /// accepts.
+    fn is_up(&self, process: usize) -> bool {
+        let address = self.addresses[process];
+        match self.form {
+            Form::Platform => try_call(address, "GET /up HTTP/1.1\r\nHost: p\r\n\r\n")
+                .is_some_and(|answer| answer.status() == 200),
+            Form::Fleet => TcpStream::connect(address).is_ok(),
+        }
+    }
+
+    fn drain(&mut self, process: usize) {
+        self.processes[process].drain();
+        let request = "PUT /healthcheck/fail HTTP/1.1\r\nHost: p\r\nContent-Length: 0\r\n\r\n";
+        try_call(self.controls[process], request);
+    }
+
     fn present_list(&self) -> List {
         self.lists[self.lists.len() - 1].list
     }
@@ -296,17 +372,9 @@
             }
             Form::Platform => {
                 self.index += 1;
-                let text = self.discovery_list(&list);
-                self.discovery.set(text.clone());
-                self.discovery.say(&text);
-                let is_watch_open = self
-                    .hung_up
-                    .is_none_or(|at| at.elapsed() > WATCH_REOPEN_TIME);
-                if is_watch_open {
-                    Instant::now()
-                } else {
-                    Instant::now() + POLLED_NOTICE
-                }
+                self.discovery.set(self.discovery_list(&list));
+                let now = Instant::now();
+                self.notice.of_change(now).unwrap_or(now + NEVER)
             }
         };
         self.lists.push(ListChange {
@@ -316,64 +384,102 @@
         });
     }
 
-    /// Writes the files and has them read, one process after the other.
-    fn reload(&self, list: &List) {
-        for (number, process) in self.processes.iter().enumerate() {
-            let before = process.logged("reloaded: ");
-            self.folder
-                .put(&file_name(number), &self.file(number, list));
-            process.signal("-HUP");
+    /// Changes how discovery takes calls. What it could not tell counts as told some time after its
+    /// return.
+    fn reach(&mut self, reach: Reach) {
+        let now = Instant::now();
+        self.discovery.reach(reach);
+        self.notice.reached(reach, now);
+        if !reach.is_reachable() {
+            self.outage.get_or_insert(now);
+        } else if let Some(begun) = self.outage.take() {
+            self.outages.push((begun, now));
+            let missed = self
+                .lists
+                .iter_mut()
+                .filter(|change| change.notified > begun);
+            missed.for_each(|change| change.notified = now + MAX_NOTICE);
+        }
+    }
+
+    /// Writes the files and has them read, one process after the other. One that is ending reads
+    /// nothing more.
+    fn reload(&mut self, list: &List) {
+        for number in 0..self.processes.len() {
+            let text = self.file(number, list);
+            self.folder.put(&file_name(number), &text);
+            let is_waited_for = self.form == Form::Fleet && self.processes[number].is_in_service();
+            let before = self.reloads(number);
+            self.processes[number].signal("-HUP");
             let begun = Instant::now();
-            while self.form == Form::Fleet
-                && process.logged("reloaded: ") == before
-                && begun.elapsed() < POLLED_NOTICE
+            while is_waited_for
+                && self.reloads(number) == before
+                && begun.elapsed() < MAX_RELOAD_TIME
             {
-                thread::sleep(POLL_INTERVAL);
+                self.wait_until(Instant::now() + POLL_INTERVAL);
             }
         }
     }
 
-    fn stop(&mut self, schedule: &Schedule) -> Vec<Stop> {
-        if let Some(ms) = schedule.ending.reload_before_ms {
-            self.processes.iter().for_each(|p| p.signal("-HUP"));
-            thread::sleep(Duration::from_millis(ms));
-        }
+    fn reloads(&mut self, process: usize) -> usize {
+        self.processes[process].daemon().logged("reloaded: ")
+    }
+
+    /// Ends each process by SIGTERM, and by SIGKILL as soon as the pages allow it.
+    fn stop(&mut self, ending: &Ending) {
         let begun = Instant::now();
-        self.processes.iter().for_each(|p| p.signal("-TERM"));
-        if let Some((signal, after_ms)) = schedule.ending.second_signal {
-            thread::sleep(Duration::from_millis(after_ms));
-            let running = self.processes.iter_mut().filter_map(|process| {
-                let is_running = process.is_running();
-                is_running.then_some(process)
-            });
-            running.for_each(|process| process.signal(signal));
+        for (after_ms, process, signal) in last_signals(ending, self.processes.len()) {
+            self.wait_until(begun + Duration::from_millis(after_ms));
+            self.processes[process].signal(signal);
         }
-        let limit = match self.form {
+        while self.are_running() {
+            let kill_after = self.kill_after();
+            for process in &mut self.processes {
+                if process
+                    .ends_since()
+                    .is_none_or(|at| at.elapsed() >= kill_after)
+                {
+                    process.kill();
+                }
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// How long a process may take to end after SIGTERM.
+    fn stop_limit(&self) -> Duration {
+        match self.form {
             Form::Platform => PLATFORM_STOP_TIME,
             Form::Fleet => STOP_TIME / 2 + LAST_RESPONSES_TIME,
-        };
-        self.processes
-            .iter_mut()
-            .map(|process| stopped(process, begun, limit))
-            .collect()
+        }
     }
-}
 
-/// Waits for the end of a process, and kills it if that does not come.
-fn stopped(process: &mut Daemon, begun: Instant, limit: Duration) -> Stop {
-    while process.is_running() && begun.elapsed() < limit + STOP_SLACK {
-        thread::sleep(POLL_INTERVAL);
-    }
-    let took = (!process.is_running()).then(|| begun.elapsed());
-    if took.is_none() {
-        process.signal("-KILL");
+    /// When SIGKILL follows a SIGTERM: on the platform by its page, else once the time is over that
+    /// the operator has given.
+    fn kill_after(&self) -> Duration {
+        match self.form {
+            Form::Platform => KILL_AFTER_SIGTERM,
+            Form::Fleet => STOP_TIME,
+        }
     }
-    Stop {
-        begun,
-        took,
-        limit,
-        is_success: process.wait().success(),
+}
+
+/// The signals at the end, in order: when, to which process, and which.
+fn last_signals(ending: &Ending, processes: usize) -> Vec<(u64, usize, &'static str)> {
+    let mut signals = Vec::new();
+    for process in 0..processes {
+        let begun_ms = ending.apart_ms * process as u64;
+        let term_ms = begun_ms + ending.reload_before_ms.unwrap_or(0);
+        if ending.reload_before_ms.is_some() {
+            signals.push((begun_ms, process, "-HUP"));
+        }
+        signals.push((term_ms, process, "-TERM"));
+        if let Some((signal, after_ms)) = ending.second_signal {
+            signals.push((term_ms + after_ms, process, signal));
+        }
     }
+    signals.sort_by_key(|(at_ms, ..)| *at_ms);
+    signals
 }
 
 fn file_name(process: usize) -> String {
