--- a/crates/loadtest/src/soak.rs
+++ b/crates/loadtest/src/soak.rs
@@ -10,6 +10,7 @@
 pub mod cold;
 pub mod discovery;
 pub mod disturbance;
+mod files;
 pub mod judge;
 pub mod notice;
 mod process;
--- a/crates/loadtest/src/soak/schedule.rs
+++ b/crates/loadtest/src/soak/schedule.rs
@@ -113,6 +113,26 @@
     pub apart_ms: u64,
 }
 
+impl Ending {
+    /// The signals to so many processes, in order: when, to which process, and which.
+    pub fn signals(&self, processes: usize) -> Vec<(u64, usize, &'static str)> {
+        let mut signals = Vec::new();
+        for process in 0..processes {
+            let begun_ms = self.apart_ms * process as u64;
+            let term_ms = begun_ms + self.reload_before_ms.unwrap_or(0);
+            if self.reload_before_ms.is_some() {
+                signals.push((begun_ms, process, "-HUP"));
+            }
+            signals.push((term_ms, process, "-TERM"));
+            if let Some((signal, after_ms)) = self.second_signal {
+                signals.push((term_ms + after_ms, process, signal));
+            }
+        }
+        signals.sort_by_key(|(at_ms, ..)| *at_ms);
+        signals
+    }
+}
+
 /// One play.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Schedule {
--- a/crates/loadtest/src/soak/site.rs
+++ b/crates/loadtest/src/soak/site.rs
@@ -3,15 +3,14 @@
 use super::client::{Clients, Door};
 use super::discovery::{Discovery, Reach};
 use super::disturbance::KILL_AFTER_SIGTERM;
+use super::files::{self, Place, STOP_TIME};
 use super::notice::{Notice, MAX_NOTICE};
 use super::process::Process;
 use super::records::{Down, Life, ListChange, Records, Usage};
 use super::schedule::{swapped, Behavior, Ending, List, Listed, Schedule, Step, ENDPOINTS};
 use super::stand_in::{Record, StandIn};
 use super::Form;
-use dewrun_test_support::{
-    config, entry, free_addresses, list, resident_kib_of, try_call, until, Daemon, Folder,
-};
+use dewrun_test_support::{free_addresses, resident_kib_of, try_call, until, Daemon, Folder};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -19,11 +18,8 @@
 use std::time::{Duration, Instant};
 
 const CLIENTS: usize = 16;
-/// Descriptors that a process may use.
-const SOCKETS: usize = 160;
-/// The time that an installation is given to stop. It accepts connections for half of it, and then
-/// has only last responses to write.
-const STOP_TIME: Duration = Duration::from_secs(4);
+/// An installation accepts connections for half of its time, and then has only last responses to
+/// write.
 const LAST_RESPONSES_TIME: Duration = Duration::from_millis(900);
 /// The platform's proxy is given as long, and a little more for the last answers.
 const PLATFORM_STOP_TIME: Duration = Duration::from_millis(3_400);
@@ -138,63 +134,21 @@
 
     /// The configuration of a process.
     fn file(&self, process: usize, members: &List) -> String {
-        if self.form == Form::Platform {
-            let mode = if self.is_polled {
-                "subscribe"
-            } else {
-                "automatic"
-            };
-            return config(self.discovery.address, &list(0, true, &[]))
-                .replace("\"sockets\":1024", &format!("\"sockets\":{SOCKETS}"))
-                .replace("\"automatic\"", &format!("\"{mode}\""));
+        match self.form {
+            Form::Platform => files::platform(self.discovery.address, self.is_polled),
+            Form::Fleet => {
+                let place = Place {
+                    process,
+                    address: self.addresses[process],
+                    fleet: &self.fleet,
+                };
+                files::installation(&place, members, &self.endpoints)
+            }
         }
-        let members: Vec<String> = members
-            .iter()
-            .zip(&self.endpoints)
-            .filter(|(listed, _)| **listed != Listed::Absent)
-            .map(|(listed, endpoint)| {
-                let is_draining = *listed == Listed::Draining;
-                let address = endpoint.address;
-                let started_ms = endpoint.started_ms;
-                format!(
-                    "{{ address = \"{address}\", draining = {is_draining}, started_ms = {started_ms} }}"
-                )
-            })
-            .collect();
-        let voters: Vec<String> = self.fleet.iter().map(|a| format!("\"{a}\"")).collect();
-        format!(
-            "[instance]\nname = \"i{process}\"\n[log]\nlines_per_s = 1000\n\
-             [limits]\nstop_time = \"{}s\"\nsockets = {SOCKETS}\n\
-             [fleet]\naddress = \"{}\"\nmembers = [{}]\n\
-             [[listener]]\nname = \"main\"\naddress = \"{}\"\n\
-             [[pool]]\nname = \"main\"\nmembers = [{}]\n[[route]]\npool = \"main\"\n",
-            STOP_TIME.as_secs(),
-            self.fleet[process],
-            voters.join(", "),
-            self.addresses[process],
-            members.join(", ")
-        )
     }
 
-    /// A list as discovery tells it. What it leaves out is gone.
     fn discovery_list(&self, members: &List) -> String {
-        let entries: Vec<String> = members
-            .iter()
-            .zip(&self.endpoints)
-            .enumerate()
-            .filter(|(_, (listed, _))| **listed != Listed::Absent)
-            .map(|(number, (listed, endpoint))| {
-                let status = match listed {
-                    Listed::Ready => "ready",
-                    Listed::Draining | Listed::Absent => "draining",
-                };
-                entry(&format!("b{number}"), endpoint.address, status).replace(
-                    "\"since_ms\":0",
-                    &format!("\"since_ms\":{}", endpoint.started_ms),
-                )
-            })
-            .collect();
-        list(self.index, true, &entries)
+        files::discovery_list(self.index, members, &self.endpoints)
     }
 
     /// Plays a schedule to its end.
@@ -428,7 +382,7 @@
     /// Ends each process by SIGTERM, and by SIGKILL as soon as the pages allow it.
     fn stop(&mut self, ending: &Ending) {
         let begun = Instant::now();
-        for (after_ms, process, signal) in last_signals(ending, self.processes.len()) {
+        for (after_ms, process, signal) in ending.signals(self.processes.len()) {
             self.wait_until(begun + Duration::from_millis(after_ms));
             self.processes[process].signal(signal);
         }
@@ -464,24 +418,6 @@
     }
 }
 
-/// The signals at the end, in order: when, to which process, and which.
-fn last_signals(ending: &Ending, processes: usize) -> Vec<(u64, usize, &'static str)> {
-    let mut signals = Vec::new();
-    for process in 0..processes {
-        let begun_ms = ending.apart_ms * process as u64;
-        let term_ms = begun_ms + ending.reload_before_ms.unwrap_or(0);
-        if ending.reload_before_ms.is_some() {
-            signals.push((begun_ms, process, "-HUP"));
-        }
-        signals.push((term_ms, process, "-TERM"));
-        if let Some((signal, after_ms)) = ending.second_signal {
-            signals.push((term_ms + after_ms, process, signal));
-        }
-    }
-    signals.sort_by_key(|(at_ms, ..)| *at_ms);
-    signals
-}
-
 fn file_name(process: usize) -> String {
     format!("i{process}.conf")
 }
