--- a/crates/loadtest/src/soak/client.rs
+++ b/crates/loadtest/src/soak/client.rs
@@ -42,7 +42,7 @@
     pub process: usize,
     /// It was the first on its connection.
     pub is_first: bool,
-    /// When its connection came up.
+    /// When its connection was begun.
     pub connected: Instant,
     /// When it was written.
     pub begun: Instant,
@@ -117,19 +117,19 @@
     fn run(mut self) {
         while !self.is_over.load(Ordering::SeqCst) {
             let is_open = self.door.load(Ordering::SeqCst);
+            let begun = Instant::now();
             let connected = is_open.then(|| TcpStream::connect(self.address));
             match connected {
-                Some(Ok(stream)) => self.call_on(&stream),
+                Some(Ok(stream)) => self.call_on(&stream, begun),
                 Some(Err(_)) | None => thread::sleep(CONNECT_INTERVAL),
             }
         }
     }
 
     /// Calls on one connection until it ends.
-    fn call_on(&mut self, stream: &TcpStream) {
+    fn call_on(&mut self, stream: &TcpStream, connected: Instant) {
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
-        let connected = Instant::now();
         let mut is_first = true;
         while !self.is_over.load(Ordering::SeqCst) {
             let (id, effect) = self.next_request();
--- a/crates/loadtest/src/soak/notice.rs
+++ b/crates/loadtest/src/soak/notice.rs
@@ -40,6 +40,14 @@
         self.watched_from = self.watched_from.max(Some(now + reopen_time));
     }
 
+    /// A process started. A service that is polled may keep its first calls waiting; an agent has
+    /// told it at once.
+    pub fn started(&mut self, now: Instant) {
+        if self.is_polled {
+            self.hung_up(now);
+        }
+    }
+
     /// Discovery keeps its watches open and says nothing more on them.
     pub fn muted(&mut self, now: Instant) {
         self.silent_since = Some(now);
--- a/crates/loadtest/src/soak/site.rs
+++ b/crates/loadtest/src/soak/site.rs
@@ -282,6 +282,7 @@
         let daemon = self.launch(number, &self.present_list());
         let process = &mut self.processes[number];
         process.succeed(daemon);
+        self.notice.started(Instant::now());
         while process.is_running() && TcpStream::connect(self.addresses[number]).is_err() {
             thread::sleep(POLL_INTERVAL);
         }
