--- a/crates/loadtest/tests/soak.rs
+++ b/crates/loadtest/tests/soak.rs
@@ -389,3 +389,53 @@
     // It bears more once it is half warm.
     assert_eq!(with_burst(3_000, ms(4_000)), []);
 }
+
+#[test]
+fn a_process_of_an_installation_is_told_nothing_more_once_it_is_ending() {
+    let changed_while_ending = |form: Form| {
+        let mut records = good();
+        records.form = form;
+        records.lives[0].stop.begun = records.begun + ms(3_000);
+        records.lives[0].stop.took = Some(ms(900));
+        let at = records.begun + ms(4_000);
+        records.lists.push(ListChange {
+            begun: at,
+            notified: at,
+            list: [Listed::Absent, Listed::Ready, Listed::Ready, Listed::Ready],
+        });
+        judge(&records)
+    };
+    assert_eq!(changed_while_ending(Form::Fleet), []);
+    let found = changed_while_ending(Form::Platform);
+    assert!(matches!(&found[..], [Finding::Late { endpoint: 0, .. }]));
+}
+
+#[test]
+fn a_successor_has_its_list_some_time_after_an_outage() {
+    let starved = |second: usize, outage_ends: Duration| {
+        let mut records = good();
+        let begun = records.begun;
+        records.lives[0].stop = Stop {
+            cause: Cause::Killed,
+            begun: begun + ms(10),
+            took: Some(ms(5)),
+            ..records.lives[0].stop
+        };
+        records.lives.push(Life {
+            begun: begun + ms(20),
+            ..good_life(begun)
+        });
+        records.outages.push((begun, begun + outage_ends));
+        let calls = CALLS_PER_SECOND * second..CALLS_PER_SECOND * (second + 1);
+        for call in &mut records.calls[calls] {
+            call.effect = Effect::Repeatable;
+            call.end = CallEnd::Answered(503, Vec::new());
+        }
+        judge(&records).len()
+    };
+    // Without an outage in its time it is judged from 2 s on, else 8 s after the outage.
+    assert_eq!(starved(1, ms(0)), 0);
+    assert_eq!(starved(3, ms(0)), 1);
+    assert_eq!(starved(3, ms(500)), 0);
+    assert_eq!(starved(9, ms(500)), 1);
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -58,9 +58,15 @@
     finds_nothing_among_kills(10);
 }
 
-/// Guards against requests lost at one process of a fleet while the other ends or starts (seed 23).
+/// Guards against requests lost at one process of a fleet while the other ends or starts (seed 19).
 #[test]
 fn a_soak_of_a_fleet_that_ends_at_different_times_finds_nothing() {
+    finds_nothing_among_kills(19);
+}
+
+/// Guards against rejections for seconds while two warming endpoints that are well are held back.
+#[test]
+fn a_soak_with_kills_of_seed_23_finds_nothing() {
     finds_nothing_among_kills(23);
 }
 
