--- a/crates/loadtest/src/soak/client.rs
+++ b/crates/loadtest/src/soak/client.rs
@@ -20,7 +20,7 @@
 const CONNECT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Whether clients are sent to a process; they share it with the site.
-pub type Door = Arc<AtomicBool>;
+pub type InRotation = Arc<AtomicBool>;
 
 /// How one request ended for its client.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,9 +60,9 @@
 }
 
 impl Clients {
-    /// Starts so many clients, spread evenly over the processes, to which they go while the door is
-    /// open. Some rest between two requests, if that is wanted.
-    pub fn start(count: usize, processes: &[(SocketAddr, Door)], some_rest: bool) -> Clients {
+    /// Starts so many clients, spread evenly over the processes, to which they go while these are
+    /// in rotation. Some rest between two requests, if that is wanted.
+    pub fn start(count: usize, processes: &[(SocketAddr, InRotation)], some_rest: bool) -> Clients {
         let calls: Arc<Mutex<Vec<Call>>> = Arc::default();
         let is_over: Arc<AtomicBool> = Arc::default();
         let threads = (0..count).map(|number| {
@@ -78,7 +78,7 @@
                 think_time,
                 process,
                 address: processes[process].0,
-                door: processes[process].1.clone(),
+                in_rotation: processes[process].1.clone(),
                 calls: calls.clone(),
                 is_over: is_over.clone(),
                 sent: 0,
@@ -107,7 +107,7 @@
     think_time: Duration,
     process: usize,
     address: SocketAddr,
-    door: Door,
+    in_rotation: InRotation,
     calls: Arc<Mutex<Vec<Call>>>,
     is_over: Arc<AtomicBool>,
     sent: usize,
@@ -116,9 +116,9 @@
 impl Client {
     fn run(mut self) {
         while !self.is_over.load(Ordering::SeqCst) {
-            let is_open = self.door.load(Ordering::SeqCst);
+            let is_in_rotation = self.in_rotation.load(Ordering::SeqCst);
             let begun = Instant::now();
-            let connected = is_open.then(|| TcpStream::connect(self.address));
+            let connected = is_in_rotation.then(|| TcpStream::connect(self.address));
             match connected {
                 Some(Ok(stream)) => self.call_on(&stream, begun),
                 Some(Err(_)) | None => thread::sleep(CONNECT_INTERVAL),
--- a/crates/loadtest/src/soak/cold.rs
+++ b/crates/loadtest/src/soak/cold.rs
@@ -1,6 +1,6 @@
 //! Rule 4: no endpoint that has just started falls over.
 
-use super::records::{Down, Records};
+use super::records::{EndpointRestart, Records};
 use super::Form;
 use crate::books::Breach;
 use std::time::{Duration, Instant};
@@ -21,42 +21,42 @@
     }
 }
 
-/// The endpoints that got more than they bore after the processes were told of their starts.
+/// The endpoints that got more than they bore after the processes were notified of their starts.
 pub fn pushed_over(records: &Records) -> impl Iterator<Item = Breach> + '_ {
-    records.downs.iter().filter_map(|down| {
-        let count = overload(down, warm_up(records.form), &arrivals(records, down))?;
-        Some(Breach::PushedOver(down.endpoint, count))
+    records.endpoint_restarts.iter().filter_map(|restart| {
+        let count = overload(restart, warm_up(records.form), &arrivals(records, restart))?;
+        Some(Breach::PushedOver(restart.endpoint, count))
     })
 }
 
 /// What an endpoint was sent from its start on until it was warm or ended again, in order.
-fn arrivals(records: &Records, down: &Down) -> Vec<Instant> {
+fn arrivals(records: &Records, restart: &EndpointRestart) -> Vec<Instant> {
     let ends = records
-        .downs
+        .endpoint_restarts
         .iter()
-        .filter(|next| next.endpoint == down.endpoint);
+        .filter(|next| next.endpoint == restart.endpoint);
     let next_end = ends
         .map(|next| next.ended)
-        .find(|ended| *ended > down.started);
-    let is_warm = down.started + warm_up(records.form);
+        .find(|ended| *ended > restart.started);
+    let is_warm = restart.started + warm_up(records.form);
     let end = next_end.map_or(is_warm, |ended| ended.min(is_warm));
     let ran = records
         .ran
         .iter()
-        .filter(|ran| ran.backend == down.endpoint);
+        .filter(|ran| ran.backend == restart.endpoint);
     let since_start = ran
         .map(|ran| ran.at)
-        .filter(|at| *at >= down.notified && *at < end);
+        .filter(|at| *at >= restart.notified && *at < end);
     let mut arrivals: Vec<Instant> = since_start.collect();
     arrivals.sort_unstable();
     arrivals
 }
 
 /// How many came in the first window in which they were too many.
-fn overload(down: &Down, warm_up: Duration, arrivals: &[Instant]) -> Option<usize> {
+fn overload(restart: &EndpointRestart, warm_up: Duration, arrivals: &[Instant]) -> Option<usize> {
     arrivals.iter().enumerate().find_map(|(first, from)| {
         let within = arrivals[first..].partition_point(|at| *at < *from + FALL_WINDOW);
-        let is_too_many = within as f64 > bound(*from - down.started, warm_up);
+        let is_too_many = within as f64 > bound(*from - restart.started, warm_up);
         is_too_many.then_some(within)
     })
 }
--- a/crates/loadtest/src/soak/judge.rs
+++ b/crates/loadtest/src/soak/judge.rs
@@ -238,15 +238,15 @@
         .collect()
 }
 
-/// The lists that a process was told of. One of an installation reads no file once it is ending.
+/// The lists that a process was notified of. One of an installation reads no file once it is ending.
 fn lists_for<'a>(records: &'a Records, life: Option<&Life>) -> &'a [ListChange] {
     let Some(life) = life.filter(|_| records.form == Form::Fleet) else {
         return &records.lists;
     };
-    let told = records
+    let notified = records
         .lists
         .partition_point(|change| change.begun < life.stop.begun);
-    &records.lists[..told]
+    &records.lists[..notified]
 }
 
 /// How long after the grace an arrival came, if the lists in force held its endpoint out.
@@ -257,7 +257,7 @@
         .iter()
         .rposition(|change| change.list[endpoint] == Listed::Ready)
         .map_or(0, |ready| ready + 1);
-    // A later list that was told sooner tells it as well.
+    // A later list that was notified sooner notifies of it as well.
     let notified = lists
         .get(first_out..=begun)?
         .iter()
@@ -375,12 +375,12 @@
         .iter()
         .take_while(|(at, _)| *at < until)
         .all(|(_, trouble)| *trouble != Some(endpoint));
-    let mut downs = records
-        .downs
+    let mut endpoint_restarts = records
+        .endpoint_restarts
         .iter()
-        .filter(|down| down.endpoint == endpoint);
-    let is_warm =
-        downs.all(|down| down.ended >= until || down.started + warm_up(records.form) <= from);
+        .filter(|restart| restart.endpoint == endpoint);
+    let is_warm = endpoint_restarts
+        .all(|restart| restart.ended >= until || restart.started + warm_up(records.form) <= from);
     is_listed && is_well && is_warm
 }
 
--- a/crates/loadtest/src/soak/notice.rs
+++ b/crates/loadtest/src/soak/notice.rs
@@ -1,15 +1,15 @@
-//! When a change of the list counts as told to a proxy of the platform, by the page.
+//! When a change of the list counts as notified to a proxy of the platform, by the page.
 
 use super::discovery::Reach;
 use std::time::{Duration, Instant};
 
-/// A change counts as told so long after discovery had it and could be reached, and what a watch
+/// A change counts as notified so long after discovery had it and could be reached, and what a watch
 /// misses so long after it fell silent.
 pub const MAX_NOTICE: Duration = Duration::from_secs(6);
 /// A watch that discovery ended is open again after this time, while discovery is up and pushes.
 const WATCH_REOPEN_TIME: Duration = Duration::from_secs(4);
 
-/// When changes count as told, by what has become of discovery and its watches.
+/// When changes count as notified, by what has become of discovery and its watches.
 #[derive(Debug, Default)]
 pub struct Notice {
     reach: Reach,
@@ -41,7 +41,7 @@
     }
 
     /// A process started. A service that is polled may keep its first calls waiting; an agent has
-    /// told it at once.
+    /// notified it at once.
     pub fn started(&mut self, now: Instant) {
         if self.is_polled {
             self.hung_up(now);
@@ -62,7 +62,7 @@
         self.reach = reach;
     }
 
-    /// When a change of now counts as told; `None` if not before discovery can be reached again.
+    /// When a change of now counts as notified; `None` if not before discovery can be reached again.
     pub fn of_change(&self, now: Instant) -> Option<Instant> {
         if !self.reach.is_reachable() {
             return None;
@@ -70,7 +70,7 @@
         if self.watched_from.is_some_and(|from| now < from) {
             return Some(now + MAX_NOTICE);
         }
-        let silence_told = self.silent_since.map(|since| since + MAX_NOTICE);
-        Some(silence_told.map_or(now, |told| told.max(now)))
+        let silence_ends = self.silent_since.map(|since| since + MAX_NOTICE);
+        Some(silence_ends.map_or(now, |end| end.max(now)))
     }
 }
--- a/crates/loadtest/src/soak/records.rs
+++ b/crates/loadtest/src/soak/records.rs
@@ -65,7 +65,7 @@
 
 /// An endpoint that ended and started again, cold.
 #[derive(Clone, Copy, Debug)]
-pub struct Down {
+pub struct EndpointRestart {
     /// Its number.
     pub endpoint: usize,
     /// When it ended.
@@ -103,7 +103,7 @@
     /// Which endpoint misbehaved from when on; none where all behave well again.
     pub troubles: Vec<(Instant, Option<usize>)>,
     /// The endpoints that ended.
-    pub downs: Vec<Down>,
+    pub endpoint_restarts: Vec<EndpointRestart>,
     /// From when until when discovery could not be reached.
     pub outages: Vec<(Instant, Instant)>,
     /// When crowds connected.
--- a/crates/loadtest/src/soak/site.rs
+++ b/crates/loadtest/src/soak/site.rs
@@ -1,12 +1,12 @@
 //! The processes of a play, what stands around them, and the steps of its schedule.
 
-use super::client::{Clients, Door};
+use super::client::{Clients, InRotation};
 use super::discovery::{Discovery, Reach};
 use super::disturbance::KILL_AFTER_SIGTERM;
 use super::files::{self, Place, STOP_TIME};
 use super::notice::{Notice, MAX_NOTICE};
 use super::process::Process;
-use super::records::{Down, Life, ListChange, Records, Usage};
+use super::records::{EndpointRestart, Life, ListChange, Records, Usage};
 use super::schedule::{swapped, Behavior, Ending, List, Listed, Schedule, Step, ENDPOINTS};
 use super::stand_in::{Record, StandIn};
 use super::Form;
@@ -39,7 +39,7 @@
     discovery: Discovery,
     addresses: Vec<SocketAddr>,
     /// Whether clients are sent to a process: not before it is up.
-    doors: Vec<Door>,
+    in_rotation: Vec<InRotation>,
     fleet: Vec<SocketAddr>,
     /// The second address of each process, on the platform.
     controls: Vec<SocketAddr>,
@@ -55,9 +55,9 @@
     lists: Vec<ListChange>,
     troubles: Vec<(Instant, Option<usize>)>,
     crowds: Vec<Instant>,
-    /// When each endpoint ended that is down.
+    /// When each endpoint ended that has not started again.
     ended: [Option<Instant>; ENDPOINTS],
-    downs: Vec<Down>,
+    endpoint_restarts: Vec<EndpointRestart>,
 }
 
 impl Site {
@@ -76,7 +76,7 @@
             record,
             discovery: Discovery::start(),
             addresses: free_addresses(count),
-            doors: (0..count).map(|_| Door::default()).collect(),
+            in_rotation: (0..count).map(|_| InRotation::default()).collect(),
             fleet: free_addresses(count),
             controls: free_addresses(count),
             processes: Vec::new(),
@@ -90,7 +90,7 @@
             troubles: Vec::new(),
             crowds: Vec::new(),
             ended: [None; ENDPOINTS],
-            downs: Vec::new(),
+            endpoint_restarts: Vec::new(),
         };
         let all = [Listed::Ready; ENDPOINTS];
         site.discovery.set(site.discovery_list(&all));
@@ -101,7 +101,9 @@
         }
         until("the processes are up", || {
             assert!(site.are_running(), "they ended");
-            site.doors.iter().all(|door| door.load(Ordering::SeqCst))
+            site.in_rotation
+                .iter()
+                .all(|in_rotation| in_rotation.load(Ordering::SeqCst))
         });
         let now = Instant::now();
         site.lists.push(ListChange {
@@ -154,8 +156,8 @@
     /// Plays a schedule to its end.
     pub fn play(mut self, schedule: &Schedule) -> Records {
         let begun = Instant::now();
-        let doors = self.doors.iter().cloned();
-        let processes: Vec<_> = self.addresses.iter().copied().zip(doors).collect();
+        let in_rotation = self.in_rotation.iter().cloned();
+        let processes: Vec<_> = self.addresses.iter().copied().zip(in_rotation).collect();
         let clients = Clients::start(CLIENTS, &processes, schedule.some_rest);
         let mut steps = Vec::new();
         for (at_ms, step) in &schedule.steps {
@@ -178,7 +180,7 @@
             lists: self.lists,
             troubles: self.troubles,
             outages: self.outages,
-            downs: self.downs,
+            endpoint_restarts: self.endpoint_restarts,
             crowds: self.crowds,
             lives: lives.concat(),
             usage,
@@ -208,9 +210,9 @@
     /// Whether any process runs. Lets clients in where one has come up.
     fn are_running(&mut self) -> bool {
         for number in 0..self.processes.len() {
-            let door = &self.doors[number];
-            if !door.load(Ordering::SeqCst) && self.is_up(number) {
-                door.store(true, Ordering::SeqCst);
+            let in_rotation = &self.in_rotation[number];
+            if !in_rotation.load(Ordering::SeqCst) && self.is_up(number) {
+                in_rotation.store(true, Ordering::SeqCst);
             }
         }
         let running = self.processes.iter_mut().filter_map(|process| {
@@ -266,7 +268,7 @@
         self.endpoints[number].start_again();
         let started = Instant::now();
         self.change_list(self.present_list());
-        self.downs.push(Down {
+        self.endpoint_restarts.push(EndpointRestart {
             endpoint: number,
             ended,
             started,
@@ -278,7 +280,7 @@
     /// that has not come up.
     fn restart(&mut self, number: usize) {
         self.processes[number].kill();
-        self.doors[number].store(false, Ordering::SeqCst);
+        self.in_rotation[number].store(false, Ordering::SeqCst);
         let daemon = self.launch(number, &self.present_list());
         let process = &mut self.processes[number];
         process.succeed(daemon);
@@ -339,7 +341,7 @@
         });
     }
 
-    /// Changes how discovery takes calls. What it could not tell counts as told some time after its
+    /// Changes how discovery takes calls. What it could not tell counts as notified some time after its
     /// return.
     fn reach(&mut self, reach: Reach) {
         let now = Instant::now();
--- a/crates/loadtest/tests/soak.rs
+++ b/crates/loadtest/tests/soak.rs
@@ -6,7 +6,9 @@
 use dewrun_loadtest::soak::discovery::Reach;
 use dewrun_loadtest::soak::judge::{judge, Finding};
 use dewrun_loadtest::soak::notice::Notice;
-use dewrun_loadtest::soak::records::{Cause, Down, Life, ListChange, Records, Stop, Usage};
+use dewrun_loadtest::soak::records::{
+    Cause, EndpointRestart, Life, ListChange, Records, Stop, Usage,
+};
 use dewrun_loadtest::soak::schedule::{swapped, Behavior, Listed, Schedule, Step, ENDPOINTS};
 use dewrun_loadtest::soak::{Form, Plan};
 use std::collections::HashSet;
@@ -81,7 +83,7 @@
         }],
         troubles: Vec::new(),
         outages: Vec::new(),
-        downs: Vec::new(),
+        endpoint_restarts: Vec::new(),
         crowds: Vec::new(),
         lives: vec![good_life(begun)],
         usage: vec![Usage {
@@ -364,7 +366,7 @@
     let with_burst = |requests: u32, after: Duration| {
         let mut records = good();
         let started = records.begun + ms(3_000);
-        records.downs.push(Down {
+        records.endpoint_restarts.push(EndpointRestart {
             endpoint: 3,
             ended: started - ms(500),
             started,
