--- a/crates/loadtest/src/soak/judge.rs
+++ b/crates/loadtest/src/soak/judge.rs
@@ -274,6 +274,8 @@
     pub served: usize,
     /// All.
     pub ended: usize,
+    /// Requests that reached each endpoint.
+    pub arrived: [usize; ENDPOINTS],
 }
 
 impl Second {
@@ -290,9 +292,16 @@
 
 /// What each whole second came to, until the last process was told to end.
 pub fn seconds(records: &Records) -> Vec<Second> {
-    (0..whole_seconds(records))
+    let mut seconds: Vec<Second> = (0..whole_seconds(records))
         .map(|number| second(records, number, |_| true))
-        .collect()
+        .collect();
+    for ran in &records.ran {
+        let number = ran.at.saturating_duration_since(records.begun).as_secs() as usize;
+        if let Some(second) = seconds.get_mut(number) {
+            second.arrived[ran.backend] += 1;
+        }
+    }
+    seconds
 }
 
 fn second(records: &Records, number: usize, counts: impl Fn(&Call) -> bool) -> Second {
--- a/crates/loadtest/src/soak/report.rs
+++ b/crates/loadtest/src/soak/report.rs
@@ -33,14 +33,20 @@
     }
 }
 
-/// The seconds of a play, each with the steps that were taken in it. A second in which less than
+/// The seconds of a play, each with what reached the endpoints and the steps that were taken in it. A second in which less than
 /// half was served has a mark.
 pub fn course(outcome: &Outcome) -> String {
     let mut text = String::new();
     for (number, second) in outcome.seconds.iter().enumerate() {
         let mark = if second.has_fallen() { '!' } else { ' ' };
-        let Second { served, ended } = second;
-        text += &format!("  {mark} second {number}: {served} of {ended} served\n");
+        let Second {
+            served,
+            ended,
+            arrived,
+        } = second;
+        text += &format!(
+            "  {mark} second {number}: {served} of {ended} served, at the endpoints {arrived:?}\n"
+        );
         let is_within = |at: &Duration| at.as_secs() as usize == number;
         for (at, step) in outcome.steps.iter().filter(|(at, _)| is_within(at)) {
             text += &format!("      {:.3} s {step:?}\n", at.as_secs_f64());
