Look for a warm endpoint once a selection, not for each that warms up

may_bear_more looked through all endpoints for a warm one at each endpoint that warms up: with 3,200 that all have just started one selection would have made some 10 million steps. It is looked up at the first warming endpoint of a selection and kept for the others.

--- a/crates/balancer/src/selection.rs
+++ b/crates/balancer/src/selection.rs
@@ -11,6 +11,7 @@
 };
 use crate::request::PendingRequest;
 use crate::retry::is_endpoint_permitted;
+use crate::slow_start::WarmTier;
 use crate::{Action, EndpointState, EndpointStatus, Millis};
 use rand::seq::IndexedRandom;
 
@@ -155,14 +156,17 @@
         let wanted_size = MIN_SUBSET_SIZE
             .max(SUBSETS_PER_ENDPOINT * self.endpoints.list.len() as f64 / fleet_size)
             .max(SUBSET_ENDPOINTS_PER_ATTEMPT * self.learned.tier.peak_in_flight);
-        let served_per_s =
-            self.learned.throughput.read(self.now, THROUGHPUT_MS) * 1000.0 / THROUGHPUT_MS;
+        let mut warm_tier = WarmTier {
+            served_per_s: self.learned.throughput.read(self.now, THROUGHPUT_MS) * 1000.0
+                / THROUGHPUT_MS,
+            is_one_left: None,
+        };
         for n in 0..self.endpoints.order.len() {
             let index = self.endpoints.order[n];
             if !self.is_available(request, index) {
                 continue;
             }
-            if !self.may_bear_more(index, request.class(), served_per_s) {
+            if !self.may_bear_more(index, request.class(), &mut warm_tier) {
                 candidates.waiting_capacity += self.waiting_capacity(index, request.class());
                 continue;
             }
--- a/crates/balancer/src/slow_start.rs
+++ b/crates/balancer/src/slow_start.rs
@@ -57,6 +57,14 @@
     pub(crate) is_warm_one_left: bool,
 }
 
+/// What one selection knows of the warm endpoints.
+pub(crate) struct WarmTier {
+    /// Requests that they serve per second and unit of capacity.
+    pub(crate) served_per_s: f64,
+    /// Whether one is left that is ready and well; looked up when the first warming endpoint asks.
+    pub(crate) is_one_left: Option<bool>,
+}
+
 /// The token bucket of one endpoint.
 #[derive(Clone, Copy)]
 pub(crate) struct SlowStart {
@@ -122,18 +130,25 @@
 
 impl Balancer {
     /// Whether an endpoint that warms up may get another attempt by its slow-start tokens.
-    pub(crate) fn may_bear_more(&mut self, index: usize, class: usize, served_per_s: f64) -> bool {
+    pub(crate) fn may_bear_more(
+        &mut self,
+        index: usize,
+        class: usize,
+        warm_tier: &mut WarmTier,
+    ) -> bool {
         let factor = self.endpoints.list[index].slow_start_factor(self.now, &self.settings.rules);
         if factor >= 1.0 {
             return true;
         }
-        let is_warm_one_left = self.is_warm_one_left(class);
+        let is_warm_one_left = *warm_tier
+            .is_one_left
+            .get_or_insert_with(|| self.is_warm_one_left(class));
         let rules = &self.settings.rules;
         let endpoint = &mut self.endpoints.list[index];
         let warming = WarmingCapacity {
             factor,
             full_capacity: endpoint.weight(),
-            served_per_s,
+            served_per_s: warm_tier.served_per_s,
             fleet_size: f64::from(self.settings.fleet_size),
             co_serving: self.co_serving,
             is_warm_one_left,
