Write the line of what is not served again after its task has panicked

After one panic of the task that writes "requests not served in the last second", its pool never wrote that line again, so that requests were rejected with an empty log. The flag that a line is due was cleared by that task alone, and nobody waited for its end.

what_is_not_served_is_logged_though_its_task_has_panicked (a borrowed state makes the task panic) failed before. run_until_done in the supervisor starts a task with one thing to do again after a panic, by the pauses of keep_running, and logs each end.

--- a/src/net/driver/log.rs
+++ b/src/net/driver/log.rs
@@ -1,6 +1,7 @@
 //! What the log says of requests that were not served, and of the status of endpoints.
 
 use super::*;
+use crate::supervisor::run_until_done;
 
 /// A change of an endpoint's status, as the module tells it.
 pub(super) struct StatusChange {
@@ -49,20 +50,28 @@
             return;
         }
         let me = self.me.clone();
-        spawn_local(async move {
-            tokio::time::sleep(SUMS).await;
-            let Some(driver) = me.upgrade() else { return };
-            let Unserved {
-                rejected, failed, ..
-            } = std::mem::take(&mut driver.state.borrow_mut().unserved);
-            let (rejected, failed) = (Unserved::text(&rejected), Unserved::text(&failed));
-            warn!(
-                pool = driver.name,
-                rejected, failed, "requests not served in the last second"
-            );
+        run_until_done("unserved summary", move || {
+            let me = me.clone();
+            async move {
+                tokio::time::sleep(SUMS).await;
+                if let Some(driver) = me.upgrade() {
+                    driver.log_unserved();
+                }
+            }
         });
     }
 
+    fn log_unserved(&self) {
+        let Unserved {
+            rejected, failed, ..
+        } = std::mem::take(&mut self.state.borrow_mut().unserved);
+        let (rejected, failed) = (Unserved::text(&rejected), Unserved::text(&failed));
+        warn!(
+            pool = self.name,
+            rejected, failed, "requests not served in the last second"
+        );
+    }
+
     /// Writes a line for each change of an endpoint's status. One that is ejected without an
     /// outcome does not respond while others do.
     pub(super) fn log_status_change(&self, state: &State, change: StatusChange) {
--- a/src/net/driver/tests.rs
+++ b/src/net/driver/tests.rs
@@ -131,3 +131,29 @@
         wait_until(|| driver.is_listed()).await;
     });
 }
+
+/// Guards against a log without a line for what is not served, after its task has panicked once.
+#[test]
+#[expect(
+    clippy::await_holding_refcell_ref,
+    reason = "the borrow is what the task panics on"
+)]
+fn what_is_not_served_is_logged_though_its_task_has_panicked() {
+    run_local(async {
+        let (driver, _limits, _client) = driver().await;
+        let reject = |driver: &Driver| {
+            let state = &mut *driver.state.borrow_mut();
+            driver.count(state, UnservedReason::ALL[0], |unserved| {
+                &mut unserved.rejected
+            });
+        };
+        reject(&driver);
+        // The line is due meanwhile.
+        let borrowed = driver.state.borrow_mut();
+        tokio::time::sleep(SUMS + TURN_WAIT).await;
+        drop(borrowed);
+        wait_until(|| !driver.state.borrow().unserved.noted).await;
+        reject(&driver);
+        assert!(driver.state.borrow().unserved.noted, "the next line is due");
+    });
+}
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -7,7 +7,8 @@
 //!
 //! Others only tell of a process, or bring it news ([`Supervisor::keep_running`], [`keep_running`]).
 //! Requests are served without them by what is known, so their end must not end the service, least
-//! of all where one bad input reaches all processes. They are started again.
+//! of all where one bad input reaches all processes. They are started again. A task with one thing to
+//! do ([`run_until_done`]) is started again only if it has panicked.
 
 use std::future::Future;
 use std::time::{Duration, Instant};
@@ -78,7 +79,7 @@
     where
         T: Future<Output = ()> + 'static,
     {
-        spawn_local(restart_for_ever(name, make_task));
+        spawn_local(restart(name, make_task, Restart::Always));
     }
 }
 
@@ -98,7 +99,23 @@
 where
     T: Future<Output = ()> + 'static,
 {
-    KeptTask(spawn_local(restart_for_ever(name, make_task)).abort_handle())
+    KeptTask(spawn_local(restart(name, make_task, Restart::Always)).abort_handle())
+}
+
+/// Starts a task that has one thing to do, and starts it again after a pause whenever it has
+/// panicked, until it returns.
+pub fn run_until_done<T>(name: &'static str, make_task: impl FnMut() -> T + 'static)
+where
+    T: Future<Output = ()> + 'static,
+{
+    spawn_local(restart(name, make_task, Restart::AfterPanic));
+}
+
+/// Which ends of a task are followed by a start.
+#[derive(Clone, Copy, PartialEq)]
+enum Restart {
+    Always,
+    AfterPanic,
 }
 
 /// A running task that ends with whoever waits for it.
@@ -110,7 +127,7 @@
     }
 }
 
-async fn restart_for_ever<T>(name: &'static str, mut make_task: impl FnMut() -> T)
+async fn restart<T>(name: &'static str, mut make_task: impl FnMut() -> T, restart: Restart)
 where
     T: Future<Output = ()> + 'static,
 {
@@ -121,6 +138,9 @@
         let Some(end) = end_of(name, (&mut task.0).await) else {
             return;
         };
+        if restart == Restart::AfterPanic && matches!(end, TaskEnded::Returned { .. }) {
+            return;
+        }
         if started.elapsed() >= RESTART_PAUSE_RESET {
             pause = INITIAL_RESTART_PAUSE;
         }
--- a/src/supervisor/tests.rs
+++ b/src/supervisor/tests.rs
@@ -1,6 +1,6 @@
 //! Ends of tasks.
 
-use super::{keep_running, supervisor, TaskEnded};
+use super::{keep_running, run_until_done, supervisor, TaskEnded};
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
@@ -84,3 +84,20 @@
         assert_eq!(Rc::strong_count(&alive), 1);
     });
 }
+
+/// Guards against a task that does its one thing again and again.
+#[test]
+fn a_task_with_one_thing_to_do_starts_again_only_after_a_panic() {
+    run_local(async {
+        let starts = Rc::new(Cell::new(0));
+        let counted = starts.clone();
+        run_until_done("one thing", move || {
+            counted.set(counted.get() + 1);
+            let start = counted.get();
+            async move { assert!(start > 1, "on purpose") }
+        });
+        // The first pause, of 0.1 s, and the second, of 0.2 s.
+        sleep(Duration::from_millis(600)).await;
+        assert_eq!(starts.get(), 2);
+    });
+}
