Bring a timer to the decision module though its task has panicked

A panic at a timer lost it. In the proxy that costs nothing today: the module's only timer calls discovery again after a failure that it is told of, and the proxy tells it of none. A later timer would be lost in silence.

a_timer_comes_though_its_task_has_panicked failed before. A timer runs by run_until_done, which starts its task again after a panic. The expiry is an instant, so that a further start does not wait anew.

--- a/src/net/driver/actions.rs
+++ b/src/net/driver/actions.rs
@@ -3,7 +3,7 @@
 use super::log::StatusChange;
 use super::*;
 use crate::net::attempts::{AttemptHooks, Target};
-use crate::supervisor::keep_running;
+use crate::supervisor::{keep_running, run_until_done};
 
 impl Driver {
     pub(super) fn carry_out(&self, state: &mut State, action: Action) {
@@ -290,10 +290,14 @@
 
     pub(super) fn later(&self, after_ms: Millis, token: u64) {
         let me = self.me.clone();
-        spawn_local(async move {
-            tokio::time::sleep(span(after_ms)).await;
-            if let Some(driver) = me.upgrade() {
-                driver.event(Event::Timer { token });
+        let expires_at = tokio::time::Instant::now() + span(after_ms);
+        run_until_done("driver timer", move || {
+            let me = me.clone();
+            async move {
+                tokio::time::sleep_until(expires_at).await;
+                if let Some(driver) = me.upgrade() {
+                    driver.event(Event::Timer { token });
+                }
             }
         });
     }
--- a/src/net/driver/tests.rs
+++ b/src/net/driver/tests.rs
@@ -94,6 +94,8 @@
     });
 }
 
+/// The module's timer after which discovery is called again.
+const POLL_DISCOVERY: u64 = 1;
 /// How long discovery takes for an answer.
 const TURN_WAIT: Duration = Duration::from_millis(100);
 
@@ -132,6 +134,29 @@
     });
 }
 
+/// Guards against a module that waits for ever for a timer whose task has panicked: here discovery
+/// is not called again after a failure.
+#[test]
+#[expect(
+    clippy::await_holding_refcell_ref,
+    reason = "the borrow is what the task panics on"
+)]
+fn a_timer_comes_though_its_task_has_panicked() {
+    run_local(async {
+        let discovery = Discovery::start(None);
+        let limits = Limits::new(1_024, 64 << 20, 64 << 10);
+        let membership = Membership::Discovery(discovery.address);
+        let driver = start_driver(Vec::new(), membership, limits);
+        driver.state.borrow_mut().watch = None;
+        driver.later(20.0, POLL_DISCOVERY);
+        // It expires meanwhile.
+        let borrowed = driver.state.borrow_mut();
+        tokio::time::sleep(TURN_WAIT).await;
+        drop(borrowed);
+        wait_until(|| driver.state.borrow().watch.is_some()).await;
+    });
+}
+
 /// Guards against a log without a line for what is not served, after its task has panicked once.
 #[test]
 #[expect(
