Count restarts of tasks in the metric svc_task_restarts_total

A task that ends and is started again had a line in the log alone; on the platform an alert reads metrics. An installation has no metrics address and keeps the log's line.

--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -94,6 +94,7 @@
     results: Vec<ClassResults>,
     forwards: Counter,
     unsolicited: Counter,
+    task_restarts: Counter,
     reloads_applied: Counter,
     reloads_rejected: Counter,
     outstanding: Gauge,
@@ -114,6 +115,7 @@
                 .collect(),
             forwards: Counter::default(),
             unsolicited: Counter::default(),
+            task_restarts: Counter::default(),
             reloads_applied: Counter::default(),
             reloads_rejected: Counter::default(),
             outstanding: Gauge::default(),
@@ -169,6 +171,11 @@
             "Times that backends sent bytes which no request asked for",
             self.unsolicited.clone(),
         );
+        registry.register(
+            "task_restarts",
+            "Times that a task of the process ended and was started again",
+            self.task_restarts.clone(),
+        );
     }
 
     /// Counts a request of a class as outstanding until the returned value is dropped.
@@ -198,6 +205,11 @@
         self.unsolicited.clone()
     }
 
+    /// The counter of tasks that were started again, which the supervisor increments.
+    pub fn task_restarts(&self) -> Counter {
+        self.task_restarts.clone()
+    }
+
     /// Counts a reload of the configuration, applied or rejected.
     pub fn count_reload(&self, is_applied: bool) {
         if is_applied {
--- a/crates/admin/tests/metrics.rs
+++ b/crates/admin/tests/metrics.rs
@@ -19,7 +19,7 @@
 fn every_line_stands_there_from_the_start() {
     let metrics = Metrics::new(["read", "a \"b\"\\"]);
     let lines = lines(&metrics);
-    assert_eq!(lines.len(), 2 * 3 + 8, "{lines:?}");
+    assert_eq!(lines.len(), 2 * 3 + 9, "{lines:?}");
     for line in [
         "svc_results_total{service=\"read\",disposition=\"succeeded\"} 0",
         "svc_results_total{service=\"a \\\"b\\\"\\\\\",disposition=\"aborted\"} 0",
@@ -29,6 +29,7 @@
         "svc_ejected 2",
         "svc_discovery_list_age 1.5",
         "svc_unsolicited_total 0",
+        "svc_task_restarts_total 0",
         "svc_sighup_applied_total 0",
         "svc_sighup_rejected_total 0",
     ] {
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -18,7 +18,7 @@
 use super::driver::{Driver, Membership, Start};
 use super::limits::{Limits, BODY_MOST, CALLER_IDLE, REQUEST_TIME};
 use super::upstream::Upstream;
-use crate::supervisor::{supervisor, Supervisor};
+use crate::supervisor::{count_restarts_by, supervisor, Supervisor};
 use dewrun_admin::{Metrics, ShutdownPlan};
 use dewrun_balancer::Settings;
 use std::net::SocketAddr;
@@ -50,6 +50,7 @@
     let limits = limits(&config);
     let class_names = settings.classes.iter().map(|class| class.name.as_str());
     let metrics = Rc::new(Metrics::new(class_names));
+    count_restarts_by(metrics.task_restarts());
     let upstream = upstream(&settings, &limits, &metrics);
     let has_known_endpoints = !config.known.endpoints.is_empty();
     let driver = start_driver(config, &limits, &upstream);
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -10,6 +10,8 @@
 //! of all where one bad input reaches all processes. They are started again. A task with one thing to
 //! do ([`run_until_done`]) is started again only if it has panicked.
 
+use dewrun_admin::Counter;
+use std::cell::RefCell;
 use std::future::Future;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
@@ -22,6 +24,16 @@
 /// A task that ran for so long has not ended for the reason of the end before.
 const RESTART_PAUSE_RESET: Duration = Duration::from_secs(60);
 
+thread_local! {
+    /// Counts the restarts of all tasks: they run on one thread.
+    static RESTARTS: RefCell<Counter> = RefCell::default();
+}
+
+/// Counts restarts by this counter from now on.
+pub fn count_restarts_by(counter: Counter) {
+    RESTARTS.set(counter);
+}
+
 /// A task that was to run for as long as the process serves, and has ended.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum TaskEnded {
@@ -145,6 +157,7 @@
             pause = INITIAL_RESTART_PAUSE;
         }
         tracing::error!("{end}; starting it again in {} ms", pause.as_millis());
+        RESTARTS.with_borrow(Counter::inc);
         sleep(pause).await;
         pause = (2 * pause).min(MAX_RESTART_PAUSE);
     }
--- a/src/supervisor/tests.rs
+++ b/src/supervisor/tests.rs
@@ -1,6 +1,7 @@
 //! Ends of tasks.
 
-use super::{keep_running, run_until_done, supervisor, TaskEnded};
+use super::{count_restarts_by, keep_running, run_until_done, supervisor, TaskEnded};
+use dewrun_admin::Counter;
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
@@ -101,3 +102,21 @@
         assert_eq!(starts.get(), 2);
     });
 }
+
+/// Guards against restarts that only the log tells of.
+#[test]
+fn each_restart_is_counted() {
+    run_local(async {
+        let restarts = Counter::default();
+        count_restarts_by(restarts.clone());
+        let starts = Rc::new(Cell::new(0));
+        run_until_done("one thing", move || {
+            starts.set(starts.get() + 1);
+            let start = starts.get();
+            async move { assert!(start > 2, "on purpose") }
+        });
+        // Two pauses, of 0.1 and 0.2 s.
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(restarts.get(), 2);
+    });
+}
