--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -64,7 +64,7 @@
     finds_nothing_among_kills(19);
 }
 
-/// Guards against rejections for seconds while two warming endpoints that are well are held back.
+/// Guards against a member that is ready in all files and gets nothing after processes were restarted.
 #[test]
 fn a_soak_with_kills_of_seed_23_finds_nothing() {
     finds_nothing_among_kills(23);
