--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -6,6 +6,7 @@
 //! | --- | --- |
 //! | `client`, `message` | a client: requests, connections, responses |
 //! | `endpoint`, `large`, `faults` | endpoints that answer by a script, at once, at length, or badly |
+//! | `late_copies` | an endpoint that sends answers a second time, late |
 //! | `discovery` | the platform's discovery service |
 //! | `proxy`, `daemon` | the program, as its platform or an operator starts it |
 //! | `links` | the network between the processes of a fleet, with faults |
@@ -24,6 +25,7 @@
 mod faults;
 mod golden;
 mod large;
+mod late_copies;
 mod links;
 mod message;
 mod mutation;
@@ -37,6 +39,7 @@
 pub use faults::{Cold, Fault, Full};
 pub use golden::{assert_golden, hex, unhex};
 pub use large::{quick, Large};
+pub use late_copies::{LateAnswer, LateCopies, SecondCopy};
 pub use links::{Links, Weather, FAIR};
 pub use message::Message;
 pub use mutation::{mutation_count, Mutator};
--- a/tests/installation/main.rs
+++ b/tests/installation/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod command;
+mod late_answers;
 mod pools;
 mod reload;
 mod shutdown;
