--- a/crates/decay/src/lib.rs
+++ b/crates/decay/src/lib.rs
@@ -26,13 +26,9 @@
 }
 
 impl DecayingSum {
-    /// A sum that has a value at a time. An infinite value becomes the largest finite one: JSON, in
-    /// which sums are stored, has no infinity.
+    /// A sum that has a value at a time.
     pub fn of(sum: f64, at: f64) -> DecayingSum {
-        DecayingSum {
-            sum: limit_to_finite(sum),
-            at,
-        }
+        DecayingSum { sum, at }
     }
 
     /// Whether nothing was added yet.
@@ -40,9 +36,9 @@
         self.at == 0.0
     }
 
-    /// Multiplies all that was added by a factor. The sum stays finite, as in [`DecayingSum::of`].
+    /// Multiplies all that was added by a factor.
     pub fn scale(&mut self, by: f64) {
-        self.sum = limit_to_finite(self.sum * by);
+        self.sum *= by;
     }
 
     /// The sum, decayed until `now`.
@@ -62,10 +58,6 @@
     }
 }
 
-fn limit_to_finite(value: f64) -> f64 {
-    value.clamp(f64::MIN, f64::MAX)
-}
-
 /// The fraction of events that were of a kind: a moving average over events, which also decays
 /// while none comes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
