Have endpoints earn short rests of their connections on the platform

What callers saw: the first late copy of an answer went to the next request, and the true answer to the one after.

A request waits at most half of its time for a rest. Bytes found between the last look at a connection and its first byte of a request count as proof too.

--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -85,7 +85,7 @@
         if let Err(outcome) = (hooks.may_begin)().await {
             return Ended::now(outcome);
         }
-        let mut idle = self.idle_connection(target, inbound).await;
+        let mut idle = self.idle_connection(target, inbound, times).await;
         let mut attempt = Attempt {
             upstream: self,
             target,
@@ -125,12 +125,18 @@
 
     /// An idle connection for a request. A body that goes out once can't follow a pooled connection
     /// that turns out to be dead to a new one.
-    async fn idle_connection(&self, target: Target, inbound: &Inbound) -> Option<Conn> {
+    async fn idle_connection(
+        &self,
+        target: Target,
+        inbound: &Inbound,
+        times: AttemptTimes,
+    ) -> Option<Conn> {
         if matches!(inbound.body, InBody::Once(..)) {
             return None;
         }
         let rather_open = self.manner == Manner::Ordinary;
-        self.take_idle(target.endpoint, target.address, rather_open)
+        let (endpoint, address) = (target.endpoint, target.address);
+        self.take_idle(endpoint, address, rather_open, times.write_deadline())
             .await
     }
 
@@ -298,11 +304,23 @@
                 not_endpoints: self.rested + uploading,
             }),
             Ok(None) if exchange.conn.wire.is_first_byte_late() => Sent::StalePermission,
-            Ok(None) if is_pooled && !exchange.conn.wire.request_begun() => Sent::StaleConnection,
+            Ok(None) if is_pooled && !exchange.conn.wire.request_begun() => {
+                self.record_if_unsolicited(&exchange);
+                Sent::StaleConnection
+            }
             ended => Sent::Ended(self.without_response(&exchange, ended)),
         }
     }
 
+    /// Bytes that came between the last look at a connection and its first byte of a request have
+    /// been asked for by none.
+    fn record_if_unsolicited(&self, exchange: &Exchange) {
+        if exchange.protocol_end == Some(Reuse::Unsolicited) {
+            let Target { endpoint, address } = self.target;
+            self.upstream.record_unsolicited(endpoint, address);
+        }
+    }
+
     /// When a streamed body of the request ended, if it has; then the request is written.
     fn end_upload(&self, exchange: &Exchange) -> Option<Instant> {
         let InBody::Once(_, upload) = &self.inbound.body else {
--- a/src/net/unsolicited.rs
+++ b/src/net/unsolicited.rs
@@ -1,8 +1,10 @@
-//! Endpoints that have sent bytes which no request had asked for, such as a second answer.
+//! What each endpoint has shown of unsolicited bytes, such as a second answer, and how long its
+//! connections rest for it between two requests.
 //!
 //! HTTP/1.1 does not name the request that an answer belongs to. A second answer that comes once
-//! the connection carries the next request is taken for the answer to that one, so connections to
-//! such endpoints carry one request each.
+//! the connection carries the next request is taken for the answer to that one. So an endpoint
+//! earns short rests by long ones without a byte, and connections to one that has sent unsolicited
+//! bytes carry one request each.
 
 use dewrun_admin::Counter;
 use dewrun_balancer::EndpointId;
@@ -13,11 +15,34 @@
 
 /// For this long after unsolicited bytes the connections of their endpoint carry one request each.
 const SINGLE_USE_TIME: Duration = Duration::from_secs(30);
+/// Long rests without a byte that earn short ones.
+const MIN_QUIET_RESTS: u32 = 3;
+/// What an endpoint has earned is forgotten when none of its connections was reused for so long.
+const QUIET_RECORD_TTL: Duration = Duration::from_secs(600);
+
+/// What an endpoint has shown. One that is not recorded has shown nothing.
+#[derive(Clone, Copy)]
+enum Evidence {
+    /// So many long rests brought no byte; with the time of the last reuse of a connection.
+    QuietRests { count: u32, last: Instant },
+    /// It has sent unsolicited bytes, the last ones then.
+    Unsolicited { last: Instant },
+}
+
+impl Evidence {
+    fn is_expired(self, now: Instant) -> bool {
+        let (last, ttl) = match self {
+            Evidence::QuietRests { last, .. } => (last, QUIET_RECORD_TTL),
+            Evidence::Unsolicited { last } => (last, SINGLE_USE_TIME),
+        };
+        now.saturating_duration_since(last) >= ttl
+    }
+}
 
 /// See the module's text.
 #[derive(Default)]
 pub struct UnsolicitedBytes {
-    last_seen: RefCell<FxHashMap<EndpointId, Instant>>,
+    evidence: RefCell<FxHashMap<EndpointId, Evidence>>,
     counter: Counter,
 }
 
@@ -31,30 +56,67 @@
     }
 
     /// An endpoint has sent bytes on a connection that carried no request.
-    pub fn record(&self, endpoint: EndpointId, address: SocketAddr) {
+    pub fn record(&self, endpoint: EndpointId, address: SocketAddr, now: Instant) {
         self.counter.inc();
-        if !self.is_recent(endpoint) {
+        if !self.is_single_use(endpoint, now) {
             tracing::warn!(
                 %address,
                 "an endpoint sent bytes that no request asked for: its connections carry one request each for {} s",
                 SINGLE_USE_TIME.as_secs()
             );
         }
-        self.last_seen.borrow_mut().insert(endpoint, Instant::now());
+        let evidence = Evidence::Unsolicited { last: now };
+        self.evidence.borrow_mut().insert(endpoint, evidence);
+    }
+
+    /// A connection is used again after a rest without a byte; a long one counts.
+    pub fn record_quiet_rest(&self, endpoint: EndpointId, is_long: bool, now: Instant) {
+        let before = match self.evidence(endpoint, now) {
+            Some(Evidence::QuietRests { count, .. }) => count,
+            Some(Evidence::Unsolicited { .. }) => return,
+            None => 0,
+        };
+        let count = before.saturating_add(u32::from(is_long));
+        let evidence = Evidence::QuietRests { count, last: now };
+        self.evidence.borrow_mut().insert(endpoint, evidence);
     }
 
     /// Whether the connections of an endpoint are to carry one request each.
-    pub fn is_recent(&self, endpoint: EndpointId) -> bool {
-        let last_seen = self.last_seen.borrow();
-        last_seen
-            .get(&endpoint)
-            .is_some_and(|at| at.elapsed() < SINGLE_USE_TIME)
+    pub fn is_single_use(&self, endpoint: EndpointId, now: Instant) -> bool {
+        matches!(
+            self.evidence(endpoint, now),
+            Some(Evidence::Unsolicited { .. })
+        )
+    }
+
+    /// Whether the connections of an endpoint need no long rests.
+    pub fn has_earned_short_rests(&self, endpoint: EndpointId, now: Instant) -> bool {
+        matches!(
+            self.evidence(endpoint, now),
+            Some(Evidence::QuietRests { count, .. }) if count >= MIN_QUIET_RESTS
+        )
+    }
+
+    /// Forgets what an endpoint has earned that left, restarted or moved to another address.
+    pub fn forget_quiet_rests(&self, endpoint: EndpointId) {
+        let mut evidence = self.evidence.borrow_mut();
+        if let Some(Evidence::QuietRests { .. }) = evidence.get(&endpoint) {
+            evidence.remove(&endpoint);
+        }
     }
 
     /// Forgets what is no longer recent.
-    pub fn expire(&self) {
-        self.last_seen
+    pub fn expire(&self, now: Instant) {
+        self.evidence
             .borrow_mut()
-            .retain(|_, at| at.elapsed() < SINGLE_USE_TIME);
+            .retain(|_, evidence| !evidence.is_expired(now));
+    }
+
+    fn evidence(&self, endpoint: EndpointId, now: Instant) -> Option<Evidence> {
+        let evidence = self.evidence.borrow().get(&endpoint).copied();
+        evidence.filter(|evidence| !evidence.is_expired(now))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -27,6 +27,13 @@
 /// On the platform a second answer may come some milliseconds late, and calls take hundreds of
 /// them.
 const PLATFORM_REST: Duration = Duration::from_millis(10);
+/// How long a connection rests on the platform whose endpoint has not earned short rests. A system
+/// delays acknowledgements by up to 40 ms, and the endpoint's may hold a second answer back for as
+/// long; the rest is for an endpoint that is late itself.
+const LONG_REST: Duration = Duration::from_millis(50);
+/// A connection's first exchange shows little: systems do not delay the acknowledgement of its
+/// first bytes.
+const MIN_EXCHANGES_FOR_EVIDENCE: u32 = 2;
 /// How long a caller waits.
 pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("request-timeout-ms");
 /// A backend's word that it has not begun a request.
@@ -134,6 +141,11 @@
 }
 
 impl AttemptTimes {
+    /// The latest time for its first byte.
+    pub fn write_deadline(&self) -> Instant {
+        self.write_by.unwrap_or(self.deadline).min(self.deadline)
+    }
+
     /// Whether the time for writing it is over.
     pub fn is_late_to_write(&self) -> bool {
         self.write_by.is_some_and(|by| Instant::now() >= by)
@@ -248,34 +260,45 @@
         }
     }
 
-    fn rest(&self) -> Duration {
+    /// How long a connection to a backend rests before it is used again.
+    fn rest(&self, backend: EndpointId, now: Instant) -> Duration {
         match self.manner {
-            Manner::Platform => PLATFORM_REST,
             Manner::Ordinary => REST,
+            Manner::Platform if self.unsolicited.has_earned_short_rests(backend, now) => {
+                PLATFORM_REST
+            }
+            Manner::Platform => self.long_rest(),
         }
     }
 
+    /// Where idle connections are dropped early, a long rest must leave time to use them.
+    fn long_rest(&self) -> Duration {
+        LONG_REST.min(self.idle_most / 2).max(PLATFORM_REST)
+    }
+
     /// An endpoint has sent more than what it was asked for. Its other connections may hold such
     /// bytes too.
     pub(super) fn record_unsolicited(&self, backend: EndpointId, address: SocketAddr) {
-        self.unsolicited.record(backend, address);
-        self.close_idle(backend);
+        self.unsolicited.record(backend, address, Instant::now());
+        self.idle.borrow_mut().remove(&backend);
     }
 
     /// Puts a connection back into the pool, if its endpoint's connections may be used again. On the
     /// platform a second answer that the endpoint's system holds back must come while the
     /// connection rests.
-    pub(super) fn put_idle(&self, backend: EndpointId, address: SocketAddr, conn: Conn) {
-        if self.unsolicited.is_recent(backend) {
+    pub(super) fn put_idle(&self, backend: EndpointId, address: SocketAddr, mut conn: Conn) {
+        let now = Instant::now();
+        if self.unsolicited.is_single_use(backend, now) {
             return;
         }
+        conn.exchanges = conn.exchanges.saturating_add(1);
         if self.manner == Manner::Platform {
             conn.wire.acknowledge();
         }
         let idle = Idle {
             conn,
             address,
-            since: Instant::now(),
+            since: now,
         };
         self.idle
             .borrow_mut()
@@ -284,15 +307,17 @@
             .push(idle);
     }
 
-    /// Drops the idle connections to a backend.
+    /// Drops the idle connections to a backend that has left, restarted or moved, and what it has
+    /// earned.
     pub fn close_idle(&self, backend: EndpointId) {
+        self.unsolicited.forget_quiet_rests(backend);
         self.idle.borrow_mut().remove(&backend);
     }
 
     /// Drops what has been idle for long, or was closed at the other end.
     pub fn reap(&self) {
-        self.unsolicited.expire();
         let now = Instant::now();
+        self.unsolicited.expire(now);
         let mut unsolicited = Vec::new();
         self.idle.borrow_mut().retain(|backend, list| {
             list.retain(|idle| {
@@ -331,39 +356,77 @@
     }
 
     /// The connection to a backend that was used last and has rested, if one is alive. Where none
-    /// has, one that rests is waited for, or left to rest if a new one may be opened instead.
+    /// has, the one that has rested longest is waited for; or none is, if a new one may be opened
+    /// instead, or the wait would take over half of the time until `write_deadline`.
     pub(super) async fn take_idle(
         &self,
         backend: EndpointId,
         address: SocketAddr,
         rather_open: bool,
+        write_deadline: Instant,
     ) -> Option<Conn> {
         loop {
-            let Idle { conn, since, .. } = {
-                let mut idle = self.idle.borrow_mut();
-                let list = idle.get_mut(&backend)?;
-                list.retain(|idle| idle.address == address);
-                let rested = list
-                    .iter()
-                    .rposition(|idle| idle.since.elapsed() >= self.rest());
-                if rested.is_none() && rather_open && self.limits.upstream.is_ample() {
-                    return None;
-                }
-                let at = rested.or_else(|| list.len().checked_sub(1))?;
-                list.remove(at)
-            };
+            let now = Instant::now();
+            if self.unsolicited.is_single_use(backend, now) {
+                self.idle.borrow_mut().remove(&backend);
+                return None;
+            }
+            let rest = self.rest(backend, now);
+            let max_wait = write_deadline.saturating_duration_since(now) / 2;
+            let Idle { conn, since, .. } =
+                self.choose_idle(backend, address, rather_open, (rest, max_wait))?;
             // Even a sleep of no length waits for the runtime's next millisecond.
-            if let Some(rest) = self
-                .rest()
-                .checked_sub(since.elapsed())
-                .filter(|rest| !rest.is_zero())
-            {
-                sleep(rest).await;
+            let left = rest.saturating_sub(since.elapsed());
+            if !left.is_zero() {
+                sleep(left).await;
+            }
+            if self.is_usable(backend, address, &conn, since) {
+                return Some(conn);
+            }
+        }
+    }
+
+    /// Takes out the idle connection that [`Upstream::take_idle`] uses, or waits for.
+    fn choose_idle(
+        &self,
+        backend: EndpointId,
+        address: SocketAddr,
+        rather_open: bool,
+        (rest, max_wait): (Duration, Duration),
+    ) -> Option<Idle> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&backend)?;
+        list.retain(|idle| idle.address == address);
+        if let Some(rested) = list.iter().rposition(|idle| idle.since.elapsed() >= rest) {
+            return Some(list.remove(rested));
+        }
+        let left = rest.saturating_sub(list.first()?.since.elapsed());
+        let may_open = rather_open && self.limits.upstream.is_ample();
+        (!may_open && left <= max_wait).then(|| list.remove(0))
+    }
+
+    /// Whether a connection that has rested can be used; what it brought meanwhile is recorded.
+    fn is_usable(
+        &self,
+        backend: EndpointId,
+        address: SocketAddr,
+        conn: &Conn,
+        since: Instant,
+    ) -> bool {
+        let now = Instant::now();
+        let rested = now.saturating_duration_since(since);
+        match conn.reuse() {
+            Reuse::Possible if rested < self.idle_most => {
+                let is_long =
+                    rested >= self.long_rest() && conn.exchanges >= MIN_EXCHANGES_FOR_EVIDENCE;
+                self.unsolicited.record_quiet_rest(backend, is_long, now);
+                // Another of its endpoint's connections may have brought bytes meanwhile.
+                !self.unsolicited.is_single_use(backend, now)
             }
-            match conn.reuse() {
-                Reuse::Possible if since.elapsed() < self.idle_most => return Some(conn),
-                Reuse::Possible | Reuse::Closed => {}
-                Reuse::Unsolicited => self.record_unsolicited(backend, address),
+            Reuse::Possible | Reuse::Closed => false,
+            Reuse::Unsolicited => {
+                self.record_unsolicited(backend, address);
+                false
             }
         }
     }
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -17,6 +17,8 @@
     pub(in crate::net) sender: SendRequest<OutBody>,
     pub(in crate::net) protocol: Pin<Box<Connection<Io, OutBody>>>,
     pub(in crate::net) wire: Rc<Wire>,
+    /// Complete exchanges that it has carried.
+    pub(super) exchanges: u32,
     /// Its share of the descriptors.
     _descriptor: Taken,
 }
@@ -32,11 +34,14 @@
     Unsolicited,
 }
 
-/// What the end of a connection's protocol says, where the answer on it was complete: an error that
-/// is not the system's is about bytes behind that answer.
+/// What the end of a connection's protocol says, where the answer on it was complete or no request
+/// was written: an error that is not the system's, nor an end too soon, is about bytes that no
+/// request asked for.
 pub(in crate::net) fn reuse_after(protocol_end: &hyper::Result<()>) -> Reuse {
     match protocol_end {
-        Err(error) if error.source().is_none() => Reuse::Unsolicited,
+        Err(error) if error.source().is_none() && !error.is_incomplete_message() => {
+            Reuse::Unsolicited
+        }
         _ => Reuse::Closed,
     }
 }
@@ -53,6 +58,7 @@
             sender,
             protocol: Box::pin(protocol),
             wire,
+            exchanges: 0,
             _descriptor: descriptor,
         })
     }
