--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -76,3 +76,24 @@
 fn a_soak_with_outages_of_a_polled_discovery_finds_nothing() {
     finds_nothing_among_kills(16);
 }
+
+/// Guards against a ready member that gets nothing after the processes of its fleet were killed and
+/// restarted in turn, beside a crowd (seed 25).
+#[test]
+fn a_soak_with_kills_of_seed_25_finds_nothing() {
+    finds_nothing_among_kills(25);
+}
+
+/// Guards against requests that reach a member long after it was told to be draining, or are lost
+/// with it, where processes are killed beside a crowd (seed 27).
+#[test]
+fn a_soak_with_kills_of_seed_27_finds_nothing() {
+    finds_nothing_among_kills(27);
+}
+
+/// Guards against a process that sends nothing to the only ready member of its file, which another
+/// process had reported as draining before it ended (seed 45).
+#[test]
+fn a_soak_with_kills_of_seed_45_finds_nothing() {
+    finds_nothing_among_kills(45);
+}
