Move the idle connections to endpoints to a file of their own

What an attempt asks of them is a struct now, and an endpoint with its address the Target that attempts have already.

--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -20,7 +20,7 @@
 use super::limits::{Body, Taken, ANSWER_PAUSE, MESSAGE_MOST};
 use super::stream::{AnswerBody, Cut, OutBody, Passing};
 use super::upstream::{
-    Answer, AttemptTimes, Conn, Ended, InBody, Inbound, Manner, Reuse, Upstream,
+    Answer, AttemptTimes, Conn, Ended, IdleQuery, InBody, Inbound, Manner, Reuse, Upstream,
 };
 use bytes::{Bytes, BytesMut};
 use dewrun_balancer::{EndpointId, Outcome, Report};
@@ -134,10 +134,12 @@
         if matches!(inbound.body, InBody::Once(..)) {
             return None;
         }
-        let rather_open = self.manner == Manner::Ordinary;
-        let (endpoint, address) = (target.endpoint, target.address);
-        self.take_idle(endpoint, address, rather_open, times.write_deadline())
-            .await
+        let query = IdleQuery {
+            target,
+            prefers_open: self.manner == Manner::Ordinary,
+            write_deadline: times.write_deadline(),
+        };
+        self.take_idle(query).await
     }
 
     /// Checks the health of an endpoint once, on a connection of its own.
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,6 +1,7 @@
 //! The connections to backends, and what an attempt at one takes and gives.
 
 mod connection;
+mod idle;
 
 use super::connect::{self, ConnectError};
 use super::io::out_of_descriptors;
@@ -12,28 +13,16 @@
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, StatusCode};
+use idle::Idle;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::sleep;
 
 pub(super) use connection::{reuse_after, Conn, Reuse};
+pub(super) use idle::IdleQuery;
 
-/// How long a connection rests after an answer: what comes behind one must be seen before the
-/// connection is used again, or it would be taken for the next answer.
-const REST: Duration = Duration::from_millis(2);
-/// On the platform a second answer may come some milliseconds late, and calls take hundreds of
-/// them.
-const PLATFORM_REST: Duration = Duration::from_millis(10);
-/// How long a connection rests on the platform whose endpoint has not earned short rests. A system
-/// delays acknowledgements by up to 40 ms, and the endpoint's may hold a second answer back for as
-/// long; the rest is for an endpoint that is late itself.
-const LONG_REST: Duration = Duration::from_millis(50);
-/// A connection's first exchange shows little: systems do not delay the acknowledgement of its
-/// first bytes.
-const MIN_EXCHANGES_FOR_EVIDENCE: u32 = 2;
 /// How long a caller waits.
 pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("request-timeout-ms");
 /// A backend's word that it has not begun a request.
@@ -199,12 +188,6 @@
     }
 }
 
-struct Idle {
-    conn: Conn,
-    address: SocketAddr,
-    since: Instant,
-}
-
 /// The connections to all backends.
 pub struct Upstream {
     idle: RefCell<FxHashMap<EndpointId, Vec<Idle>>>,
@@ -212,7 +195,7 @@
     pub(super) manner: Manner,
     pub(super) times: AnswerTimes,
     pub(super) connect_timeout: Duration,
-    idle_most: Duration,
+    max_idle_time: Duration,
     fields: Vec<ReportField>,
     pub(super) forwards: Counter,
     unsolicited: UnsolicitedBytes,
@@ -234,7 +217,7 @@
             manner: Manner::Platform,
             times: PLATFORM_TIMES,
             connect_timeout: span(connect_ms),
-            idle_most: span(idle_close_ms / 2.0),
+            max_idle_time: span(idle_close_ms / 2.0),
             fields,
             forwards: Counter::default(),
             unsolicited: UnsolicitedBytes::default(),
@@ -260,177 +243,6 @@
         }
     }
 
-    /// How long a connection to a backend rests before it is used again.
-    fn rest(&self, backend: EndpointId, now: Instant) -> Duration {
-        match self.manner {
-            Manner::Ordinary => REST,
-            Manner::Platform if self.unsolicited.has_earned_short_rests(backend, now) => {
-                PLATFORM_REST
-            }
-            Manner::Platform => self.long_rest(),
-        }
-    }
-
-    /// Where idle connections are dropped early, a long rest must leave time to use them.
-    fn long_rest(&self) -> Duration {
-        LONG_REST.min(self.idle_most / 2).max(PLATFORM_REST)
-    }
-
-    /// An endpoint has sent more than what it was asked for. Its other connections may hold such
-    /// bytes too.
-    pub(super) fn record_unsolicited(&self, backend: EndpointId, address: SocketAddr) {
-        self.unsolicited.record(backend, address, Instant::now());
-        self.idle.borrow_mut().remove(&backend);
-    }
-
-    /// Puts a connection back into the pool, if its endpoint's connections may be used again. On the
-    /// platform a second answer that the endpoint's system holds back must come while the
-    /// connection rests.
-    pub(super) fn put_idle(&self, backend: EndpointId, address: SocketAddr, mut conn: Conn) {
-        let now = Instant::now();
-        if self.unsolicited.is_single_use(backend, now) {
-            return;
-        }
-        conn.exchanges = conn.exchanges.saturating_add(1);
-        if self.manner == Manner::Platform {
-            conn.wire.acknowledge();
-        }
-        let idle = Idle {
-            conn,
-            address,
-            since: now,
-        };
-        self.idle
-            .borrow_mut()
-            .entry(backend)
-            .or_default()
-            .push(idle);
-    }
-
-    /// Drops the idle connections to a backend that has left, restarted or moved, and what it has
-    /// earned.
-    pub fn close_idle(&self, backend: EndpointId) {
-        self.unsolicited.forget_quiet_rests(backend);
-        self.idle.borrow_mut().remove(&backend);
-    }
-
-    /// Drops what has been idle for long, or was closed at the other end.
-    pub fn reap(&self) {
-        let now = Instant::now();
-        self.unsolicited.expire(now);
-        let mut unsolicited = Vec::new();
-        self.idle.borrow_mut().retain(|backend, list| {
-            list.retain(|idle| {
-                let reuse = idle.conn.reuse();
-                if reuse == Reuse::Unsolicited {
-                    unsolicited.push((*backend, idle.address));
-                }
-                now.duration_since(idle.since) < self.idle_most && reuse == Reuse::Possible
-            });
-            !list.is_empty()
-        });
-        for (backend, address) in unsolicited {
-            self.record_unsolicited(backend, address);
-        }
-    }
-
-    /// Drops the connection that has been idle longest; false if there is none.
-    pub fn shed(&self) -> bool {
-        let mut idle = self.idle.borrow_mut();
-        let oldest = idle
-            .iter()
-            .filter_map(|(id, list)| Some((list.first()?.since, *id)))
-            .min();
-        let Some(list) = oldest.and_then(|(_, id)| idle.get_mut(&id)) else {
-            return false;
-        };
-        list.remove(0);
-        true
-    }
-
-    /// Drops the idle connections to a backend that carried nothing since then.
-    pub(super) fn close_idle_since(&self, backend: EndpointId, then: Instant) {
-        if let Some(list) = self.idle.borrow_mut().get_mut(&backend) {
-            list.retain(|idle| idle.since > then);
-        }
-    }
-
-    /// The connection to a backend that was used last and has rested, if one is alive. Where none
-    /// has, the one that has rested longest is waited for; or none is, if a new one may be opened
-    /// instead, or the wait would take over half of the time until `write_deadline`.
-    pub(super) async fn take_idle(
-        &self,
-        backend: EndpointId,
-        address: SocketAddr,
-        rather_open: bool,
-        write_deadline: Instant,
-    ) -> Option<Conn> {
-        loop {
-            let now = Instant::now();
-            if self.unsolicited.is_single_use(backend, now) {
-                self.idle.borrow_mut().remove(&backend);
-                return None;
-            }
-            let rest = self.rest(backend, now);
-            let max_wait = write_deadline.saturating_duration_since(now) / 2;
-            let Idle { conn, since, .. } =
-                self.choose_idle(backend, address, rather_open, (rest, max_wait))?;
-            // Even a sleep of no length waits for the runtime's next millisecond.
-            let left = rest.saturating_sub(since.elapsed());
-            if !left.is_zero() {
-                sleep(left).await;
-            }
-            if self.is_usable(backend, address, &conn, since) {
-                return Some(conn);
-            }
-        }
-    }
-
-    /// Takes out the idle connection that [`Upstream::take_idle`] uses, or waits for.
-    fn choose_idle(
-        &self,
-        backend: EndpointId,
-        address: SocketAddr,
-        rather_open: bool,
-        (rest, max_wait): (Duration, Duration),
-    ) -> Option<Idle> {
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.get_mut(&backend)?;
-        list.retain(|idle| idle.address == address);
-        if let Some(rested) = list.iter().rposition(|idle| idle.since.elapsed() >= rest) {
-            return Some(list.remove(rested));
-        }
-        let left = rest.saturating_sub(list.first()?.since.elapsed());
-        let may_open = rather_open && self.limits.upstream.is_ample();
-        (!may_open && left <= max_wait).then(|| list.remove(0))
-    }
-
-    /// Whether a connection that has rested can be used; what it brought meanwhile is recorded.
-    fn is_usable(
-        &self,
-        backend: EndpointId,
-        address: SocketAddr,
-        conn: &Conn,
-        since: Instant,
-    ) -> bool {
-        let now = Instant::now();
-        let rested = now.saturating_duration_since(since);
-        match conn.reuse() {
-            Reuse::Possible if rested < self.idle_most => {
-                let is_long =
-                    rested >= self.long_rest() && conn.exchanges >= MIN_EXCHANGES_FOR_EVIDENCE;
-                self.unsolicited.record_quiet_rest(backend, is_long, now);
-                // Another of its endpoint's connections may have brought bytes meanwhile.
-                !self.unsolicited.is_single_use(backend, now)
-            }
-            Reuse::Possible | Reuse::Closed => false,
-            Reuse::Unsolicited => {
-                self.record_unsolicited(backend, address);
-                false
-            }
-        }
-    }
-
     /// A new connection. Want of sockets here is told as [`Outcome::NotSent`]: it says nothing of the
     /// backend.
     pub(super) async fn connect(
--- /dev/null
+++ b/src/net/upstream/idle.rs
@@ -0,0 +1,204 @@
+//! The idle connections to endpoints, and how long each rests before it carries the next request.
+
+use super::{Conn, Manner, Reuse, Upstream};
+use crate::net::attempts::Target;
+use dewrun_balancer::EndpointId;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// How long a connection rests after an answer: what comes behind one must be seen before the
+/// connection is used again, or it would be taken for the next answer.
+const REST: Duration = Duration::from_millis(2);
+/// On the platform a second answer may come some milliseconds late, and calls take hundreds of
+/// them.
+const PLATFORM_REST: Duration = Duration::from_millis(10);
+/// How long a connection rests on the platform whose endpoint has not earned short rests. A system
+/// delays acknowledgements by up to 40 ms, and the endpoint's may hold a second answer back for as
+/// long; the rest is for an endpoint that is late itself.
+const LONG_REST: Duration = Duration::from_millis(50);
+/// A connection's first exchange shows little: systems do not delay the acknowledgement of its
+/// first bytes.
+const MIN_EXCHANGES_FOR_EVIDENCE: u32 = 2;
+
+/// A connection that carries nothing.
+pub(super) struct Idle {
+    conn: Conn,
+    address: SocketAddr,
+    since: Instant,
+}
+
+/// What an attempt asks of the idle connections.
+#[derive(Clone, Copy)]
+pub(in crate::net) struct IdleQuery {
+    /// Where the attempt goes.
+    pub(in crate::net) target: Target,
+    /// Whether to open another connection, if there is room, rather than wait for one to have
+    /// rested.
+    pub(in crate::net) prefers_open: bool,
+    /// The latest time for the first byte of the request.
+    pub(in crate::net) write_deadline: Instant,
+}
+
+impl Upstream {
+    /// How long a connection to an endpoint rests before it is used again.
+    fn rest(&self, endpoint: EndpointId, now: Instant) -> Duration {
+        match self.manner {
+            Manner::Ordinary => REST,
+            Manner::Platform if self.unsolicited.has_earned_short_rests(endpoint, now) => {
+                PLATFORM_REST
+            }
+            Manner::Platform => self.long_rest(),
+        }
+    }
+
+    /// Where idle connections are dropped early, a long rest must leave time to use them.
+    fn long_rest(&self) -> Duration {
+        LONG_REST.min(self.max_idle_time / 2).max(PLATFORM_REST)
+    }
+
+    /// An endpoint has sent more than what it was asked for. Its other connections may hold such
+    /// bytes too.
+    pub(in crate::net) fn record_unsolicited(&self, endpoint: EndpointId, address: SocketAddr) {
+        self.unsolicited.record(endpoint, address, Instant::now());
+        self.idle.borrow_mut().remove(&endpoint);
+    }
+
+    /// Puts a connection back into the pool, if its endpoint's connections may be used again. On the
+    /// platform a second answer that the endpoint's system holds back must come while the
+    /// connection rests.
+    pub(in crate::net) fn put_idle(
+        &self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        mut conn: Conn,
+    ) {
+        let now = Instant::now();
+        if self.unsolicited.is_single_use(endpoint, now) {
+            return;
+        }
+        conn.exchanges = conn.exchanges.saturating_add(1);
+        if self.manner == Manner::Platform {
+            conn.wire.acknowledge();
+        }
+        let idle = Idle {
+            conn,
+            address,
+            since: now,
+        };
+        self.idle
+            .borrow_mut()
+            .entry(endpoint)
+            .or_default()
+            .push(idle);
+    }
+
+    /// Drops the idle connections to an endpoint that has left, restarted or moved, and what it has
+    /// earned.
+    pub fn close_idle(&self, endpoint: EndpointId) {
+        self.unsolicited.forget_quiet_rests(endpoint);
+        self.idle.borrow_mut().remove(&endpoint);
+    }
+
+    /// Drops what has been idle for long, or was closed at the other end.
+    pub fn reap(&self) {
+        let now = Instant::now();
+        self.unsolicited.expire(now);
+        let mut unsolicited = Vec::new();
+        self.idle.borrow_mut().retain(|endpoint, list| {
+            list.retain(|idle| {
+                let reuse = idle.conn.reuse();
+                if reuse == Reuse::Unsolicited {
+                    unsolicited.push((*endpoint, idle.address));
+                }
+                now.duration_since(idle.since) < self.max_idle_time && reuse == Reuse::Possible
+            });
+            !list.is_empty()
+        });
+        for (endpoint, address) in unsolicited {
+            self.record_unsolicited(endpoint, address);
+        }
+    }
+
+    /// Drops the connection that has been idle longest; false if there is none.
+    pub fn shed(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle
+            .iter()
+            .filter_map(|(id, list)| Some((list.first()?.since, *id)))
+            .min();
+        let Some(list) = oldest.and_then(|(_, id)| idle.get_mut(&id)) else {
+            return false;
+        };
+        list.remove(0);
+        true
+    }
+
+    /// Drops the idle connections to an endpoint that carried nothing since then.
+    pub(in crate::net) fn close_idle_since(&self, endpoint: EndpointId, then: Instant) {
+        if let Some(list) = self.idle.borrow_mut().get_mut(&endpoint) {
+            list.retain(|idle| idle.since > then);
+        }
+    }
+
+    /// The connection to an endpoint that was used last and has rested, if one is alive. Where none
+    /// has, the one that has rested longest is waited for; or none is, if a new one may be opened
+    /// instead, or the wait would take over half of the time until the write deadline.
+    pub(in crate::net) async fn take_idle(&self, query: IdleQuery) -> Option<Conn> {
+        let endpoint = query.target.endpoint;
+        loop {
+            let now = Instant::now();
+            if self.unsolicited.is_single_use(endpoint, now) {
+                self.idle.borrow_mut().remove(&endpoint);
+                return None;
+            }
+            let rest = self.rest(endpoint, now);
+            let idle = self.choose_idle(query, rest)?;
+            // Even a sleep of no length waits for the runtime's next millisecond.
+            let left = rest.saturating_sub(idle.since.elapsed());
+            if !left.is_zero() {
+                sleep(left).await;
+            }
+            if self.is_usable(endpoint, &idle) {
+                return Some(idle.conn);
+            }
+        }
+    }
+
+    /// Takes out the idle connection that [`Upstream::take_idle`] uses, or waits for.
+    fn choose_idle(&self, query: IdleQuery, rest: Duration) -> Option<Idle> {
+        let Target { endpoint, address } = query.target;
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&endpoint)?;
+        list.retain(|idle| idle.address == address);
+        if let Some(rested) = list.iter().rposition(|idle| idle.since.elapsed() >= rest) {
+            return Some(list.remove(rested));
+        }
+        let left = rest.saturating_sub(list.first()?.since.elapsed());
+        let time_to_write = query
+            .write_deadline
+            .saturating_duration_since(Instant::now());
+        let may_open = query.prefers_open && self.limits.upstream.is_ample();
+        (!may_open && left <= time_to_write / 2).then(|| list.remove(0))
+    }
+
+    /// Whether a connection that has rested can be used; what it brought meanwhile is recorded.
+    fn is_usable(&self, endpoint: EndpointId, idle: &Idle) -> bool {
+        let now = Instant::now();
+        let rested = now.saturating_duration_since(idle.since);
+        match idle.conn.reuse() {
+            Reuse::Possible if rested < self.max_idle_time => {
+                let is_long =
+                    rested >= self.long_rest() && idle.conn.exchanges >= MIN_EXCHANGES_FOR_EVIDENCE;
+                self.unsolicited.record_quiet_rest(endpoint, is_long, now);
+                // Another of its endpoint's connections may have brought bytes meanwhile.
+                !self.unsolicited.is_single_use(endpoint, now)
+            }
+            Reuse::Possible | Reuse::Closed => false,
+            Reuse::Unsolicited => {
+                self.record_unsolicited(endpoint, idle.address);
+                false
+            }
+        }
+    }
+}
