--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -92,9 +92,9 @@
             inbound,
             times,
             started,
-            // A rest of the connection just now counts neither for the time-out nor as the
-            // endpoint's.
-            rested: started.elapsed(),
+            // A wait for an idle connection counts neither for the time-out nor as the endpoint's
+            // latency.
+            reuse_wait: started.elapsed(),
             until: times.deadline.min(Instant::now() + times.most),
         };
         loop {
@@ -204,7 +204,7 @@
     inbound: &'a Inbound,
     times: AttemptTimes,
     started: Instant,
-    rested: Duration,
+    reuse_wait: Duration,
     /// When it times out.
     until: Instant,
 }
@@ -303,7 +303,7 @@
                 exchange,
                 response,
                 until,
-                not_endpoints: self.rested + uploading,
+                not_endpoints: self.reuse_wait + uploading,
             }),
             Ok(None) if exchange.conn.wire.is_first_byte_late() => Sent::StalePermission,
             Ok(None) if is_pooled && !exchange.conn.wire.request_begun() => {
--- a/src/net/unsolicited.rs
+++ b/src/net/unsolicited.rs
@@ -1,10 +1,10 @@
-//! What each endpoint has shown of unsolicited bytes, such as a second answer, and how long its
-//! connections rest for it between two requests.
+//! What each endpoint has shown of unsolicited bytes, such as a second response, by which the reuse
+//! delay of its connections is chosen.
 //!
-//! HTTP/1.1 does not name the request that an answer belongs to. A second answer that comes once
-//! the connection carries the next request is taken for the answer to that one. So an endpoint
-//! earns short rests by long ones without a byte, and connections to one that has sent unsolicited
-//! bytes carry one request each.
+//! HTTP/1.1 does not name the request that a response belongs to. A second response that comes once
+//! the connection carries the next request is taken for the response to that one. So an endpoint
+//! earns short reuse delays by long ones without a byte, and connections to one that has sent
+//! unsolicited bytes carry one request each.
 
 use dewrun_admin::Counter;
 use dewrun_balancer::EndpointId;
@@ -15,16 +15,16 @@
 
 /// For this long after unsolicited bytes the connections of their endpoint carry one request each.
 const SINGLE_USE_TIME: Duration = Duration::from_secs(30);
-/// Long rests without a byte that earn short ones.
-const MIN_QUIET_RESTS: u32 = 3;
+/// Long reuse delays without a byte that earn short ones.
+const MIN_QUIET_DELAYS: u32 = 3;
 /// What an endpoint has earned is forgotten when none of its connections was reused for so long.
 const QUIET_RECORD_TTL: Duration = Duration::from_secs(600);
 
 /// What an endpoint has shown. One that is not recorded has shown nothing.
 #[derive(Clone, Copy)]
 enum Evidence {
-    /// So many long rests brought no byte; with the time of the last reuse of a connection.
-    QuietRests { count: u32, last: Instant },
+    /// So many long reuse delays brought no byte; with the time of the last reuse of a connection.
+    QuietDelays { count: u32, last: Instant },
     /// It has sent unsolicited bytes, the last ones then.
     Unsolicited { last: Instant },
 }
@@ -32,7 +32,7 @@
 impl Evidence {
     fn is_expired(self, now: Instant) -> bool {
         let (last, ttl) = match self {
-            Evidence::QuietRests { last, .. } => (last, QUIET_RECORD_TTL),
+            Evidence::QuietDelays { last, .. } => (last, QUIET_RECORD_TTL),
             Evidence::Unsolicited { last } => (last, SINGLE_USE_TIME),
         };
         now.saturating_duration_since(last) >= ttl
@@ -69,15 +69,15 @@
         self.evidence.borrow_mut().insert(endpoint, evidence);
     }
 
-    /// A connection is used again after a rest without a byte; a long one counts.
-    pub fn record_quiet_rest(&self, endpoint: EndpointId, is_long: bool, now: Instant) {
+    /// A connection is reused after a delay without a byte; a long one counts.
+    pub fn record_quiet_delay(&self, endpoint: EndpointId, is_long: bool, now: Instant) {
         let before = match self.evidence(endpoint, now) {
-            Some(Evidence::QuietRests { count, .. }) => count,
+            Some(Evidence::QuietDelays { count, .. }) => count,
             Some(Evidence::Unsolicited { .. }) => return,
             None => 0,
         };
         let count = before.saturating_add(u32::from(is_long));
-        let evidence = Evidence::QuietRests { count, last: now };
+        let evidence = Evidence::QuietDelays { count, last: now };
         self.evidence.borrow_mut().insert(endpoint, evidence);
     }
 
@@ -89,18 +89,18 @@
         )
     }
 
-    /// Whether the connections of an endpoint need no long rests.
-    pub fn has_earned_short_rests(&self, endpoint: EndpointId, now: Instant) -> bool {
+    /// Whether the connections of an endpoint need no long reuse delays.
+    pub fn has_earned_short_delays(&self, endpoint: EndpointId, now: Instant) -> bool {
         matches!(
             self.evidence(endpoint, now),
-            Some(Evidence::QuietRests { count, .. }) if count >= MIN_QUIET_RESTS
+            Some(Evidence::QuietDelays { count, .. }) if count >= MIN_QUIET_DELAYS
         )
     }
 
     /// Forgets what an endpoint has earned that left, restarted or moved to another address.
-    pub fn forget_quiet_rests(&self, endpoint: EndpointId) {
+    pub fn forget_quiet_delays(&self, endpoint: EndpointId) {
         let mut evidence = self.evidence.borrow_mut();
-        if let Some(Evidence::QuietRests { .. }) = evidence.get(&endpoint) {
+        if let Some(Evidence::QuietDelays { .. }) = evidence.get(&endpoint) {
             evidence.remove(&endpoint);
         }
     }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -120,7 +120,7 @@
 pub struct AttemptTimes {
     /// When its request is over.
     pub deadline: Instant,
-    /// From the time it has a connection that has rested.
+    /// From the time it has a connection that may be used.
     pub most: Duration,
     /// For a new connection, besides what the pool says.
     pub connect: Duration,
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -26,7 +26,7 @@
 /// Whether a connection can carry another request.
 #[derive(Clone, Copy, PartialEq)]
 pub(in crate::net) enum Reuse {
-    /// It rests without a byte to be read.
+    /// It is idle without a byte to be read.
     Possible,
     /// The connection is over.
     Closed,
@@ -73,7 +73,7 @@
         }
     }
 
-    /// What the socket itself says of a connection at rest. A server may say why it closes a
+    /// What the socket itself says of an idle connection. A server may say why it closes a
     /// connection: bytes before its end are no second answer.
     pub(super) fn reuse(&self) -> Reuse {
         if self.wire.is_quiet() {
--- a/src/net/upstream/idle.rs
+++ b/src/net/upstream/idle.rs
@@ -1,4 +1,4 @@
-//! The idle connections to endpoints, and how long each rests before it carries the next request.
+//! The idle connections to endpoints, and when each may carry the next request.
 
 use super::{Conn, Manner, Reuse, Upstream};
 use crate::net::attempts::Target;
@@ -7,16 +7,16 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-/// How long a connection rests after an answer: what comes behind one must be seen before the
-/// connection is used again, or it would be taken for the next answer.
-const REST: Duration = Duration::from_millis(2);
-/// On the platform a second answer may come some milliseconds late, and calls take hundreds of
+/// How long a connection stays idle after a response before it is reused: bytes behind a response
+/// must be seen first, or they would be taken for the next one.
+const REUSE_DELAY: Duration = Duration::from_millis(2);
+/// On the platform a second response may come some milliseconds late, and requests take hundreds of
 /// them.
-const PLATFORM_REST: Duration = Duration::from_millis(10);
-/// How long a connection rests on the platform whose endpoint has not earned short rests. A system
-/// delays acknowledgements by up to 40 ms, and the endpoint's may hold a second answer back for as
-/// long; the rest is for an endpoint that is late itself.
-const LONG_REST: Duration = Duration::from_millis(50);
+const PLATFORM_REUSE_DELAY: Duration = Duration::from_millis(10);
+/// The reuse delay on the platform of an endpoint that has not earned a short one. A system delays
+/// acknowledgements by up to 40 ms, and the endpoint's may hold a second response back for as long;
+/// the remainder is for an endpoint that is late itself.
+const INITIAL_REUSE_DELAY: Duration = Duration::from_millis(50);
 /// A connection's first exchange shows little: systems do not delay the acknowledgement of its
 /// first bytes.
 const MIN_EXCHANGES_FOR_EVIDENCE: u32 = 2;
@@ -33,28 +33,30 @@
 pub(in crate::net) struct IdleQuery {
     /// Where the attempt goes.
     pub(in crate::net) target: Target,
-    /// Whether to open another connection, if there is room, rather than wait for one to have
-    /// rested.
+    /// Whether to open another connection, if there is room, rather than wait until one
+    /// may be reused.
     pub(in crate::net) prefers_open: bool,
     /// The latest time for the first byte of the request.
     pub(in crate::net) write_deadline: Instant,
 }
 
 impl Upstream {
-    /// How long a connection to an endpoint rests before it is used again.
-    fn rest(&self, endpoint: EndpointId, now: Instant) -> Duration {
+    /// How long a connection to an endpoint stays idle before it is reused.
+    fn reuse_delay(&self, endpoint: EndpointId, now: Instant) -> Duration {
         match self.manner {
-            Manner::Ordinary => REST,
-            Manner::Platform if self.unsolicited.has_earned_short_rests(endpoint, now) => {
-                PLATFORM_REST
+            Manner::Ordinary => REUSE_DELAY,
+            Manner::Platform if self.unsolicited.has_earned_short_delays(endpoint, now) => {
+                PLATFORM_REUSE_DELAY
             }
-            Manner::Platform => self.long_rest(),
+            Manner::Platform => self.initial_reuse_delay(),
         }
     }
 
-    /// Where idle connections are dropped early, a long rest must leave time to use them.
-    fn long_rest(&self) -> Duration {
-        LONG_REST.min(self.max_idle_time / 2).max(PLATFORM_REST)
+    /// Where idle connections are dropped early, the delay must leave time to reuse them.
+    fn initial_reuse_delay(&self) -> Duration {
+        INITIAL_REUSE_DELAY
+            .min(self.max_idle_time / 2)
+            .max(PLATFORM_REUSE_DELAY)
     }
 
     /// An endpoint has sent more than what it was asked for. Its other connections may hold such
@@ -64,9 +66,9 @@
         self.idle.borrow_mut().remove(&endpoint);
     }
 
-    /// Puts a connection back into the pool, if its endpoint's connections may be used again. On the
-    /// platform a second answer that the endpoint's system holds back must come while the
-    /// connection rests.
+    /// Puts a connection back into the pool, if its endpoint's connections may be reused. On the
+    /// platform a second response that the endpoint's system holds back must come before the
+    /// connection is reused.
     pub(in crate::net) fn put_idle(
         &self,
         endpoint: EndpointId,
@@ -96,7 +98,7 @@
     /// Drops the idle connections to an endpoint that has left, restarted or moved, and what it has
     /// earned.
     pub fn close_idle(&self, endpoint: EndpointId) {
-        self.unsolicited.forget_quiet_rests(endpoint);
+        self.unsolicited.forget_quiet_delays(endpoint);
         self.idle.borrow_mut().remove(&endpoint);
     }
 
@@ -141,8 +143,8 @@
         }
     }
 
-    /// The connection to an endpoint that was used last and has rested, if one is alive. Where none
-    /// has, the one that has rested longest is waited for; or none is, if a new one may be opened
+    /// The connection to an endpoint that was used last and may be reused, if one is alive. Where
+    /// none may yet, the one that may first is waited for; or none is, if a new one may be opened
     /// instead, or the wait would take over half of the time until the write deadline.
     pub(in crate::net) async fn take_idle(&self, query: IdleQuery) -> Option<Conn> {
         let endpoint = query.target.endpoint;
@@ -152,10 +154,10 @@
                 self.idle.borrow_mut().remove(&endpoint);
                 return None;
             }
-            let rest = self.rest(endpoint, now);
-            let idle = self.choose_idle(query, rest)?;
+            let reuse_delay = self.reuse_delay(endpoint, now);
+            let idle = self.choose_idle(query, reuse_delay)?;
             // Even a sleep of no length waits for the runtime's next millisecond.
-            let left = rest.saturating_sub(idle.since.elapsed());
+            let left = reuse_delay.saturating_sub(idle.since.elapsed());
             if !left.is_zero() {
                 sleep(left).await;
             }
@@ -166,15 +168,18 @@
     }
 
     /// Takes out the idle connection that [`Upstream::take_idle`] uses, or waits for.
-    fn choose_idle(&self, query: IdleQuery, rest: Duration) -> Option<Idle> {
+    fn choose_idle(&self, query: IdleQuery, reuse_delay: Duration) -> Option<Idle> {
         let Target { endpoint, address } = query.target;
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&endpoint)?;
         list.retain(|idle| idle.address == address);
-        if let Some(rested) = list.iter().rposition(|idle| idle.since.elapsed() >= rest) {
-            return Some(list.remove(rested));
+        let reusable = list
+            .iter()
+            .rposition(|idle| idle.since.elapsed() >= reuse_delay);
+        if let Some(reusable) = reusable {
+            return Some(list.remove(reusable));
         }
-        let left = rest.saturating_sub(list.first()?.since.elapsed());
+        let left = reuse_delay.saturating_sub(list.first()?.since.elapsed());
         let time_to_write = query
             .write_deadline
             .saturating_duration_since(Instant::now());
@@ -182,15 +187,15 @@
         (!may_open && left <= time_to_write / 2).then(|| list.remove(0))
     }
 
-    /// Whether a connection that has rested can be used; what it brought meanwhile is recorded.
+    /// Whether a connection can be reused after its delay; what it brought meanwhile is recorded.
     fn is_usable(&self, endpoint: EndpointId, idle: &Idle) -> bool {
         let now = Instant::now();
-        let rested = now.saturating_duration_since(idle.since);
+        let idle_time = now.saturating_duration_since(idle.since);
         match idle.conn.reuse() {
-            Reuse::Possible if rested < self.max_idle_time => {
-                let is_long =
-                    rested >= self.long_rest() && idle.conn.exchanges >= MIN_EXCHANGES_FOR_EVIDENCE;
-                self.unsolicited.record_quiet_rest(endpoint, is_long, now);
+            Reuse::Possible if idle_time < self.max_idle_time => {
+                let is_long = idle_time >= self.initial_reuse_delay()
+                    && idle.conn.exchanges >= MIN_EXCHANGES_FOR_EVIDENCE;
+                self.unsolicited.record_quiet_delay(endpoint, is_long, now);
                 // Another of its endpoint's connections may have brought bytes meanwhile.
                 !self.unsolicited.is_single_use(endpoint, now)
             }
