Have members of installations earn short reuse delays, as on the platform

What callers saw: a member's first late second answer (15 to 35 ms) went to the next request, and each true answer to the one after: s0, s0, s1, s2, s3.

Cause: an installation reused a connection 2 ms after an answer, whatever its member had shown. A later copy comes when the connection carries the next request, and nothing in HTTP/1.1 names the request of an answer.

Fix: 50 ms until three such delays brought no byte, then 2 ms. Meanwhile one request at a time waits at a member, others open a connection. Only a first attempt waits, and only where another is left, so a member that leaves costs one attempt at most. A wait ends when the member closes the connection. The copy so comes while its connection is idle, and is the proof that makes the member's connections carry one request each.

--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -136,7 +136,7 @@
         }
         let query = IdleQuery {
             target,
-            prefers_open: self.manner == Manner::Ordinary,
+            may_wait: times.may_wait_for_reuse,
             write_deadline: times.write_deadline(),
         };
         self.take_idle(query).await
--- a/src/net/driver/actions.rs
+++ b/src/net/driver/actions.rs
@@ -132,6 +132,8 @@
             }
             _ => None,
         };
+        // A wait during which the endpoint leaves costs an attempt: one at most, and never the last.
+        let may_wait_for_reuse = open.attempts == 0 && self.max_attempts > 1;
         let (cancel, cancelled) = oneshot::channel();
         open.out = Some(Out {
             attempt: open.attempts as u8,
@@ -164,6 +166,7 @@
             write_by: open
                 .may_have_run_since
                 .and_then(|at| open.retry_window.write_by(at)),
+            may_wait_for_reuse,
         };
         let (me, inbound) = (self.me.clone(), open.inbound.clone());
         spawn_local(async move {
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -7,7 +7,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::future::{poll_fn, Future};
+use std::future::{pending, poll_fn, Future};
 use std::io::{ErrorKind, Result, Write as _};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
@@ -217,6 +217,14 @@
         let _ = self.stream.readable().await;
     }
 
+    /// Waits until the peer has closed the connection; for ever, if it has sent something that is not
+    /// read.
+    pub async fn closed(&self) {
+        if let Ok(1..) = self.stream.peek(&mut [0]).await {
+            pending().await
+        }
+    }
+
     /// Says a last word on a connection on which nothing else is being said, and reads on for as
     /// long as the peer writes, so that it gets to see the word and not a reset.
     pub async fn say_last(&self, word: &[u8]) {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -14,7 +14,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, StatusCode};
 use idle::Idle;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -127,6 +127,9 @@
     /// By when the last byte of the request has to be written, where an earlier attempt of it may
     /// have run: from then on nobody drops a repeat.
     pub write_by: Option<Instant>,
+    /// Whether it may wait until a connection can be reused where another could be opened. Its
+    /// endpoint may leave the list meanwhile, which ends the attempt, so a further one must be left.
+    pub may_wait_for_reuse: bool,
 }
 
 impl AttemptTimes {
@@ -199,6 +202,8 @@
     fields: Vec<ReportField>,
     pub(super) forwards: Counter,
     unsolicited: UnsolicitedBytes,
+    /// Endpoints at which a request waits until a connection may be reused.
+    waiting: RefCell<FxHashSet<EndpointId>>,
 }
 
 impl Upstream {
@@ -221,6 +226,7 @@
             fields,
             forwards: Counter::default(),
             unsolicited: UnsolicitedBytes::default(),
+            waiting: RefCell::default(),
         }
     }
 
--- a/src/net/upstream/idle.rs
+++ b/src/net/upstream/idle.rs
@@ -1,11 +1,13 @@
 //! The idle connections to endpoints, and when each may carry the next request.
 
+#[cfg(doc)]
+use super::AttemptTimes;
 use super::{Conn, Manner, Reuse, Upstream};
 use crate::net::attempts::Target;
 use dewrun_balancer::EndpointId;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// How long a connection stays idle after a response before it is reused: bytes behind a response
 /// must be seen first, or they would be taken for the next one.
@@ -13,7 +15,7 @@
 /// On the platform a second response may come some milliseconds late, and requests take hundreds of
 /// them.
 const PLATFORM_REUSE_DELAY: Duration = Duration::from_millis(10);
-/// The reuse delay on the platform of an endpoint that has not earned a short one. A system delays
+/// The reuse delay of an endpoint that has not earned a short one. A system delays
 /// acknowledgements by up to 40 ms, and the endpoint's may hold a second response back for as long;
 /// the remainder is for an endpoint that is late itself.
 const INITIAL_REUSE_DELAY: Duration = Duration::from_millis(50);
@@ -28,14 +30,25 @@
     since: Instant,
 }
 
+/// A request that waits until a connection to an endpoint may be reused.
+struct Wait<'a> {
+    upstream: &'a Upstream,
+    endpoint: EndpointId,
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.upstream.waiting.borrow_mut().remove(&self.endpoint);
+    }
+}
+
 /// What an attempt asks of the idle connections.
 #[derive(Clone, Copy)]
 pub(in crate::net) struct IdleQuery {
     /// Where the attempt goes.
     pub(in crate::net) target: Target,
-    /// Whether to open another connection, if there is room, rather than wait until one
-    /// may be reused.
-    pub(in crate::net) prefers_open: bool,
+    /// See [`AttemptTimes::may_wait_for_reuse`].
+    pub(in crate::net) may_wait: bool,
     /// The latest time for the first byte of the request.
     pub(in crate::net) write_deadline: Instant,
 }
@@ -43,12 +56,17 @@
 impl Upstream {
     /// How long a connection to an endpoint stays idle before it is reused.
     fn reuse_delay(&self, endpoint: EndpointId, now: Instant) -> Duration {
+        if self.unsolicited.has_earned_short_delays(endpoint, now) {
+            self.short_reuse_delay()
+        } else {
+            self.initial_reuse_delay()
+        }
+    }
+
+    fn short_reuse_delay(&self) -> Duration {
         match self.manner {
             Manner::Ordinary => REUSE_DELAY,
-            Manner::Platform if self.unsolicited.has_earned_short_delays(endpoint, now) => {
-                PLATFORM_REUSE_DELAY
-            }
-            Manner::Platform => self.initial_reuse_delay(),
+            Manner::Platform => PLATFORM_REUSE_DELAY,
         }
     }
 
@@ -56,7 +74,7 @@
     fn initial_reuse_delay(&self) -> Duration {
         INITIAL_REUSE_DELAY
             .min(self.max_idle_time / 2)
-            .max(PLATFORM_REUSE_DELAY)
+            .max(self.short_reuse_delay())
     }
 
     /// An endpoint has sent more than what it was asked for. Its other connections may hold such
@@ -159,7 +177,9 @@
             // Even a sleep of no length waits for the runtime's next millisecond.
             let left = reuse_delay.saturating_sub(idle.since.elapsed());
             if !left.is_zero() {
-                sleep(left).await;
+                let _waiting = self.begin_wait(endpoint);
+                // A connection that its endpoint closes is not waited for any longer.
+                let _ = timeout(left, idle.conn.wire.closed()).await;
             }
             if self.is_usable(endpoint, &idle) {
                 return Some(idle.conn);
@@ -183,8 +203,32 @@
         let time_to_write = query
             .write_deadline
             .saturating_duration_since(Instant::now());
-        let may_open = query.prefers_open && self.limits.upstream.is_ample();
-        (!may_open && left <= time_to_write / 2).then(|| list.remove(0))
+        let waits = left <= time_to_write / 2 && !self.opens_another(query, reuse_delay);
+        waits.then(|| list.remove(0))
+    }
+
+    /// Whether to open another connection rather than wait until one may be reused. In an
+    /// installation one request at a time waits at an endpoint: requests in a row share a
+    /// connection, those at one time are not held up while there is room for connections.
+    fn opens_another(&self, query: IdleQuery, reuse_delay: Duration) -> bool {
+        if self.manner == Manner::Platform {
+            return false;
+        }
+        let is_short_wait = reuse_delay <= REUSE_DELAY;
+        if !is_short_wait && !query.may_wait {
+            return true;
+        }
+        let is_other_waiting = self.waiting.borrow().contains(&query.target.endpoint);
+        (is_short_wait || is_other_waiting) && self.limits.upstream.is_ample()
+    }
+
+    /// Has [`Upstream::opens_another`] know of a wait until the result is dropped.
+    fn begin_wait(&self, endpoint: EndpointId) -> Wait<'_> {
+        self.waiting.borrow_mut().insert(endpoint);
+        Wait {
+            upstream: self,
+            endpoint,
+        }
     }
 
     /// Whether a connection can be reused after its delay; what it brought meanwhile is recorded.
--- a/tests/installation/main.rs
+++ b/tests/installation/main.rs
@@ -5,6 +5,7 @@
 mod late_answers;
 mod pools;
 mod reload;
+mod reuse;
 mod shutdown;
 mod smuggling;
 mod streaming;
