Have the platform wait for a connection as before, also where it is closed

The fix of installations had ended such waits on the platform too, when the endpoint closes the connection.

--- a/src/net/upstream/idle.rs
+++ b/src/net/upstream/idle.rs
@@ -7,7 +7,7 @@
 use dewrun_balancer::EndpointId;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// How long a connection stays idle after a response before it is reused: bytes behind a response
 /// must be seen first, or they would be taken for the next one.
@@ -177,9 +177,7 @@
             // Even a sleep of no length waits for the runtime's next millisecond.
             let left = reuse_delay.saturating_sub(idle.since.elapsed());
             if !left.is_zero() {
-                let _waiting = self.begin_wait(endpoint);
-                // A connection that its endpoint closes is not waited for any longer.
-                let _ = timeout(left, idle.conn.wire.closed()).await;
+                self.wait_for_reuse(endpoint, &idle.conn, left).await;
             }
             if self.is_usable(endpoint, &idle) {
                 return Some(idle.conn);
@@ -207,6 +205,18 @@
         waits.then(|| list.remove(0))
     }
 
+    /// Waits until a connection may be reused; in an installation no longer than until its endpoint
+    /// closes it.
+    async fn wait_for_reuse(&self, endpoint: EndpointId, conn: &Conn, left: Duration) {
+        match self.manner {
+            Manner::Platform => sleep(left).await,
+            Manner::Ordinary => {
+                let _waiting = self.begin_wait(endpoint);
+                let _ = timeout(left, conn.wire.closed()).await;
+            }
+        }
+    }
+
     /// Whether to open another connection rather than wait until one may be reused. In an
     /// installation one request at a time waits at an endpoint: requests in a row share a
     /// connection, those at one time are not held up while there is room for connections.
