Ask for an idle connection by the target and the times of the attempt

IdleQuery, of this change, copied two values out of AttemptTimes, which the caller has already. take_idle takes Target and AttemptTimes.

--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -20,7 +20,7 @@
 use super::limits::{Body, Taken, ANSWER_PAUSE, MESSAGE_MOST};
 use super::stream::{AnswerBody, Cut, OutBody, Passing};
 use super::upstream::{
-    Answer, AttemptTimes, Conn, Ended, IdleQuery, InBody, Inbound, Manner, Reuse, Upstream,
+    Answer, AttemptTimes, Conn, Ended, InBody, Inbound, Manner, Reuse, Upstream,
 };
 use bytes::{Bytes, BytesMut};
 use dewrun_balancer::{EndpointId, Outcome, Report};
@@ -134,12 +134,7 @@
         if matches!(inbound.body, InBody::Once(..)) {
             return None;
         }
-        let query = IdleQuery {
-            target,
-            may_wait: times.may_wait_for_reuse,
-            write_deadline: times.write_deadline(),
-        };
-        self.take_idle(query).await
+        self.take_idle(target, times).await
     }
 
     /// Checks the health of an endpoint once, on a connection of its own.
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -21,7 +21,6 @@
 use std::time::{Duration, Instant};
 
 pub(super) use connection::{reuse_after, Conn, Reuse};
-pub(super) use idle::IdleQuery;
 
 /// How long a caller waits.
 pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("request-timeout-ms");
--- a/src/net/upstream/idle.rs
+++ b/src/net/upstream/idle.rs
@@ -1,8 +1,6 @@
 //! The idle connections to endpoints, and when each may carry the next request.
 
-#[cfg(doc)]
-use super::AttemptTimes;
-use super::{Conn, Manner, Reuse, Upstream};
+use super::{AttemptTimes, Conn, Manner, Reuse, Upstream};
 use crate::net::attempts::Target;
 use dewrun_balancer::EndpointId;
 use std::net::SocketAddr;
@@ -42,17 +40,6 @@
     }
 }
 
-/// What an attempt asks of the idle connections.
-#[derive(Clone, Copy)]
-pub(in crate::net) struct IdleQuery {
-    /// Where the attempt goes.
-    pub(in crate::net) target: Target,
-    /// See [`AttemptTimes::may_wait_for_reuse`].
-    pub(in crate::net) may_wait: bool,
-    /// The latest time for the first byte of the request.
-    pub(in crate::net) write_deadline: Instant,
-}
-
 impl Upstream {
     /// How long a connection to an endpoint stays idle before it is reused.
     fn reuse_delay(&self, endpoint: EndpointId, now: Instant) -> Duration {
@@ -164,8 +151,12 @@
     /// The connection to an endpoint that was used last and may be reused, if one is alive. Where
     /// none may yet, the one that may first is waited for; or none is, if a new one may be opened
     /// instead, or the wait would take over half of the time until the write deadline.
-    pub(in crate::net) async fn take_idle(&self, query: IdleQuery) -> Option<Conn> {
-        let endpoint = query.target.endpoint;
+    pub(in crate::net) async fn take_idle(
+        &self,
+        target: Target,
+        times: AttemptTimes,
+    ) -> Option<Conn> {
+        let endpoint = target.endpoint;
         loop {
             let now = Instant::now();
             if self.unsolicited.is_single_use(endpoint, now) {
@@ -173,7 +164,7 @@
                 return None;
             }
             let reuse_delay = self.reuse_delay(endpoint, now);
-            let idle = self.choose_idle(query, reuse_delay)?;
+            let idle = self.choose_idle(target, times, reuse_delay)?;
             // Even a sleep of no length waits for the runtime's next millisecond.
             let left = reuse_delay.saturating_sub(idle.since.elapsed());
             if !left.is_zero() {
@@ -186,8 +177,12 @@
     }
 
     /// Takes out the idle connection that [`Upstream::take_idle`] uses, or waits for.
-    fn choose_idle(&self, query: IdleQuery, reuse_delay: Duration) -> Option<Idle> {
-        let Target { endpoint, address } = query.target;
+    fn choose_idle(
+        &self,
+        Target { endpoint, address }: Target,
+        times: AttemptTimes,
+        reuse_delay: Duration,
+    ) -> Option<Idle> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&endpoint)?;
         list.retain(|idle| idle.address == address);
@@ -198,10 +193,10 @@
             return Some(list.remove(reusable));
         }
         let left = reuse_delay.saturating_sub(list.first()?.since.elapsed());
-        let time_to_write = query
-            .write_deadline
+        let time_to_write = times
+            .write_deadline()
             .saturating_duration_since(Instant::now());
-        let waits = left <= time_to_write / 2 && !self.opens_another(query, reuse_delay);
+        let waits = left <= time_to_write / 2 && !self.opens_another(endpoint, times, reuse_delay);
         waits.then(|| list.remove(0))
     }
 
@@ -220,15 +215,20 @@
     /// Whether to open another connection rather than wait until one may be reused. In an
     /// installation one request at a time waits at an endpoint: requests in a row share a
     /// connection, those at one time are not held up while there is room for connections.
-    fn opens_another(&self, query: IdleQuery, reuse_delay: Duration) -> bool {
+    fn opens_another(
+        &self,
+        endpoint: EndpointId,
+        times: AttemptTimes,
+        reuse_delay: Duration,
+    ) -> bool {
         if self.manner == Manner::Platform {
             return false;
         }
         let is_short_wait = reuse_delay <= REUSE_DELAY;
-        if !is_short_wait && !query.may_wait {
+        if !is_short_wait && !times.may_wait_for_reuse {
             return true;
         }
-        let is_other_waiting = self.waiting.borrow().contains(&query.target.endpoint);
+        let is_other_waiting = self.waiting.borrow().contains(&endpoint);
         (is_short_wait || is_other_waiting) && self.limits.upstream.is_ample()
     }
 
