--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -7,6 +7,7 @@
 use crate::net::limits::Limits;
 use crate::net::pool::Common;
 use crate::net::upstream::AnswerTimes;
+use crate::signals::{SignalError, Signals};
 use crate::supervisor::{supervisor, Supervisor, TaskEnded, TaskEnds};
 use dewrun_admin::ShutdownPlan;
 use dewrun_agent::{Agent, Options};
@@ -18,7 +19,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, Signal, SignalKind};
 use tracing::{error, info, warn};
 
 /// For a client to read the last response on a connection that ends with bytes unread.
@@ -45,13 +45,8 @@
     #[error("{0}")]
     Runtime(std::io::Error),
     /// A signal can't be received.
-    #[error("{signal}: {source}")]
-    Signal {
-        /// The signal's name.
-        signal: &'static str,
-        /// The system's error.
-        source: std::io::Error,
-    },
+    #[error(transparent)]
+    Signal(#[from] SignalError),
     /// An address can't be listened at.
     #[error("{address}: {source}")]
     Listen {
@@ -92,29 +87,6 @@
     texts.join("\n")
 }
 
-/// The signals that the program acts on.
-struct Signals {
-    reload: Signal,
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl Signals {
-    fn new() -> Result<Signals, ServeError> {
-        let receive = |kind, name| {
-            signal(kind).map_err(|source| ServeError::Signal {
-                signal: name,
-                source,
-            })
-        };
-        Ok(Signals {
-            reload: receive(SignalKind::hangup(), "SIGHUP")?,
-            terminate: receive(SignalKind::terminate(), "SIGTERM")?,
-            interrupt: receive(SignalKind::interrupt(), "SIGINT")?,
-        })
-    }
-}
-
 /// Serves until SIGTERM or SIGINT.
 ///
 /// # Errors
--- a/src/main.rs
+++ b/src/main.rs
@@ -29,6 +29,7 @@
     pub mod upstream;
 }
 
+mod signals;
 mod supervisor;
 
 use clap::Parser;
--- a/src/net/platform/error.rs
+++ b/src/net/platform/error.rs
@@ -1,5 +1,6 @@
 //! Why a proxy of the platform does not start, or does not go by a new configuration.
 
+use crate::signals::SignalError;
 use crate::supervisor::TaskEnded;
 use dewrun_simulator_adapter::SettingsError;
 use std::io;
@@ -100,13 +101,8 @@
         source: io::Error,
     },
     /// A signal can't be received.
-    #[error("{signal}: {source}")]
-    Signal {
-        /// The signal's name.
-        signal: &'static str,
-        /// The system's error.
-        source: io::Error,
-    },
+    #[error(transparent)]
+    Signal(#[from] SignalError),
     /// A task without which the process serves wrongly has ended.
     #[error("{0}; this process stops")]
     Task(#[from] TaskEnded),
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -18,6 +18,7 @@
 use super::driver::{Driver, Membership, Start};
 use super::limits::{Limits, BODY_MOST, CALLER_IDLE, REQUEST_TIME};
 use super::upstream::Upstream;
+use crate::signals::Signals;
 use crate::supervisor::{count_restarts_by, supervisor, Supervisor};
 use dewrun_admin::{Metrics, ShutdownPlan};
 use dewrun_balancer::Settings;
@@ -25,7 +26,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::signal::unix::Signal;
 
 /// Lines of the log a second, over time.
 const LOG_LINES_PER_S: u32 = 10;
@@ -139,29 +140,6 @@
     }
 }
 
-/// The signals that the program acts on.
-struct Signals {
-    reload: Signal,
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl Signals {
-    fn new() -> Result<Signals, PlatformError> {
-        let receive = |kind, name| {
-            signal(kind).map_err(|source| PlatformError::Signal {
-                signal: name,
-                source,
-            })
-        };
-        Ok(Signals {
-            reload: receive(SignalKind::hangup(), "SIGHUP")?,
-            terminate: receive(SignalKind::terminate(), "SIGTERM")?,
-            interrupt: receive(SignalKind::interrupt(), "SIGINT")?,
-        })
-    }
-}
-
 /// What this process may hold: a part of what the platform gives where another may be here with as
 /// much.
 fn limits(config: &Config) -> Rc<Limits> {
