--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,9 +11,9 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "common"))
 from harness import CannotRun, Program, Reader, Server, TROUBLE, accepts, free_port, play, wait_until
 
-CALLERS = "ABCD"
+CALLERS = "ABCDEF"
 # Requests a second of all callers together, at random times.
-RATE = 400.0
+RATE = 600.0
 # Each member answers one request twice, this long after the callers have begun.
 COPY_AFTER_S = 6.0
 SECONDS = 8.0
@@ -94,7 +94,7 @@
 
 
 def case(record, scratch, programs):
-    members = [Member(name, record) for name in "ab"]
+    members = [Member(name, record) for name in "abc"]
     port = free_port()
     file = os.path.join(scratch, "shop.toml")
     with open(file, "w") as out:
