Name record.txt in each review case, and record every request of case 1

Need: nothing in a case's folder named the record that its script writes; the shared harness alone did. Case 1 recorded one answer in 200 and no run.

Checks, bounds and traffic as set are unchanged.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -60,6 +60,7 @@
             first, headers = reader.head()
             reader.body(headers)
             path = first.split()[1]
+            self.record.line("member %s: runs %s" % (self.name, path))
             time.sleep(WORK_S)
             body = made_body(path)
             answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
@@ -85,10 +86,8 @@
         first, headers = reader.head()
         body = reader.body(headers)
         counts[name] = number
-        if number % 200 == 0:
-            record.line("caller %s: %s was answered %s %r" % (name, path, first, body))
+        record.line("caller %s: asked for %s and was answered %s %r" % (name, path, first, body))
         if first.split()[1] == "200" and body != made_body(path):
-            record.line("caller %s: asked for %s and was answered %s %r" % (name, path, first, body))
             breaks.append("caller %s asked for %s and got the answer %r" % (name, path, body))
         time.sleep(random.random() * 2 * len(CALLERS) / RATE)
 
@@ -119,4 +118,4 @@
     return breaks
 
 
-play(FOLDER, case)
+play(os.path.join(FOLDER, "record.txt"), case)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -23,10 +23,10 @@
 
 
 class Record:
-    """Lines with the time since the start, written to `record.txt`."""
+    """Lines with the time since the start, written to a file."""
 
-    def __init__(self, folder):
-        self._file = open(os.path.join(folder, "record.txt"), "w")
+    def __init__(self, path):
+        self._file = open(path, "w")
         self._lock = threading.Lock()
 
     def line(self, text):
@@ -218,10 +218,10 @@
         pass
 
 
-def play(folder, case):
-    """Runs `case(record, scratch, programs)`, which returns the list of breaks of the rule, ends
-    all processes, and exits: 1 for a break, 0 for none, 2 if the case could not be played."""
-    record = Record(folder)
+def play(path, case):
+    """Runs `case(record, scratch, programs)` with a record at `path`. The case returns the list of breaks of
+    the rule. Ends all processes, and exits: 1 for a break, 0 for none, 2 if the case could not be played."""
+    record = Record(path)
     programs = []
 
     def overdue():
@@ -234,7 +234,7 @@
     timer.daemon = True
     timer.start()
     code = 2
-    record.line("case %s, TROUBLE=%d" % (os.path.basename(folder), TROUBLE))
+    record.line("case %s, TROUBLE=%d" % (os.path.basename(os.path.dirname(path)), TROUBLE))
     with tempfile.TemporaryDirectory() as scratch:
         try:
             breaks = case(record, scratch, programs)
