State the length of the written body in relayed responses, not the received one

Callers saw: in an installation a response with Content-Length beside Transfer-Encoding: chunked came cut to that length and looked whole (200, 404), or its surplus stood before the answer to the next request (500). With a length that is too long the connection ended, or the caller waited for bytes of the next answer.

Cause: a body is framed anew, but its headers went along. relay removed the hop-by-hop headers only, and hyper takes a Content-Length that it is given for true.

Change: set_length_headers (crates/forwarding) is the one place that states the length of a relayed response, by the body that is written; for HEAD and 304 by what the endpoint stated, if its headers agree, and nothing in a 204. The gateway's and the platform's responses pass there.

Why it works: no length header of a received message reaches hyper any more, and the stated length and the written bytes have one source, the body.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -9,6 +9,8 @@
 //! - [`remove_hop_by_hop_headers`] removes the headers that belong to one connection.
 //! - [`set_forwarded_headers`] records the client's address, and keeps the forwarding headers that
 //!   the client sent only if the client is trusted.
+//! - [`set_length_headers`] states the length of the body that is written; [`body_length`] reads the
+//!   length that a received response states.
 //! - [`append_via`] and [`append_proxy_status`] record the proxy, and whether a response
 //!   came from an endpoint or from the proxy.
 //! - [`retry_safety`] decides by the method of a request and the rule of its class whether a retry
@@ -28,10 +30,12 @@
 )]
 
 mod headers;
+mod length;
 mod retry;
 
 pub use headers::{
     append_proxy_status, append_via, is_upgrade, remove_hop_by_hop_headers, set_forwarded_headers,
     PROXY_STATUS,
 };
+pub use length::{body_length, set_length_headers, BodyLength, RelayedMessage};
 pub use retry::{retry_safety, RetryRule, RetrySafety};
--- a/crates/forwarding/tests/forwarding.rs
+++ b/crates/forwarding/tests/forwarding.rs
@@ -160,3 +160,49 @@
         assert_eq!(all, [safe, idempotent, keyed, Never], "{method} {has_key}");
     }
 }
+
+/// Guards against a relayed response that states another length than its body has.
+#[test]
+fn a_relayed_response_states_the_length_of_its_body() {
+    use BodyLength::{Known, Unknown};
+    let lengths = [Known(0), Known(5), Unknown];
+    let length_headers = [("content-length", "7"), ("transfer-encoding", "chunked")];
+    for received in [
+        &[][..],
+        &length_headers[..1],
+        &length_headers[1..],
+        &length_headers,
+    ] {
+        for (status, is_to_head) in [
+            (200, false),
+            (404, false),
+            (500, false),
+            (200, true),
+            (204, false),
+            (304, false),
+        ] {
+            for (received_length, body) in lengths
+                .map(|length| lengths.map(|body| (length, body)))
+                .concat()
+            {
+                let mut all = headers(received);
+                let status = StatusCode::from_u16(status).expect("a status");
+                let message = RelayedMessage::Response {
+                    status,
+                    is_to_head,
+                    received_length,
+                };
+                set_length_headers(&mut all, message, body);
+                let expected = match status.as_u16() {
+                    204 => Unknown,
+                    304 => received_length,
+                    _ if is_to_head => received_length,
+                    _ => body,
+                };
+                assert_eq!(body_length(&all), Some(expected), "{message:?} {body:?}");
+                let has_body = !is_to_head && !matches!(status.as_u16(), 204 | 304);
+                assert_eq!(all.len(), usize::from(has_body || expected != Unknown));
+            }
+        }
+    }
+}
--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -25,13 +25,14 @@
 };
 use bytes::{Bytes, BytesMut};
 use dewrun_balancer::{EndpointId, Outcome, Report};
+use dewrun_forwarding::{body_length, BodyLength};
 use exchange::Exchange;
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use hyper::header;
 use hyper::http::response::Parts as Head;
 use hyper::{Method, Request, Response, StatusCode};
-use message::{body_length, outbound_request, outcome, remaining_ms, BodyLength};
+use message::{outbound_request, outcome, remaining_ms};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::time::error::Elapsed;
@@ -418,7 +419,8 @@
                     self.upstream
                         .return_to_pool(self.target, exchange, &hooks.is_endpoint_ready)
                         .await;
-                    return answered(verdict, head, body, at);
+                    let body = ResponseBody::Buffered(body);
+                    return answered(verdict, EndpointResponse::new(head, length, body), at);
                 }
                 BufferResult::TooLong(read) => first = read,
                 BufferResult::Ended(ended) => return *ended,
@@ -427,17 +429,10 @@
         if !verdict.is_forwarded {
             return verdict.ended(verdict.outcome);
         }
-        let known = match length {
-            BodyLength::Known(length) => Some(length),
-            BodyLength::Unknown => None,
-        };
-        let (to, body_stream) = StreamedResponseBody::new(known);
+        let (to, body_stream) = StreamedResponseBody::new(length);
         let body_begun = Instant::now();
-        (hooks.begin_response)(EndpointResponse {
-            status: head.status,
-            headers: head.headers,
-            body: ResponseBody::Streamed(body_stream),
-        });
+        let streamed_body = ResponseBody::Streamed(body_stream);
+        (hooks.begin_response)(EndpointResponse::new(head, length, streamed_body));
         if !first.is_empty() {
             // The channel is empty, so this cannot fail.
             let _ = to.try_send(Ok(first));
@@ -541,18 +536,13 @@
 }
 
 /// Returns the result of an attempt with a complete response.
-fn answered(verdict: Verdict, head: Head, body: Body, at: Instant) -> AttemptOutcome {
+fn answered(verdict: Verdict, response: EndpointResponse, at: Instant) -> AttemptOutcome {
     if !verdict.is_forwarded {
         return AttemptOutcome {
             at,
             ..verdict.ended(verdict.outcome)
         };
     }
-    let response = EndpointResponse {
-        status: head.status,
-        headers: head.headers,
-        body: ResponseBody::Buffered(body),
-    };
     AttemptOutcome::with_response(verdict.outcome, at, verdict.report, response)
 }
 
--- a/src/net/attempts/message.rs
+++ b/src/net/attempts/message.rs
@@ -23,31 +23,6 @@
     header::EXPECT,
 ];
 
-/// How the length of a response body is given (RFC 9112, 6.3).
-pub(super) enum BodyLength {
-    Known(u64),
-    /// The body is chunked or ends with the connection.
-    Unknown,
-}
-
-/// Returns the length of a response body; `None` if the headers contradict each other.
-pub(super) fn body_length(headers: &HeaderMap) -> Option<BodyLength> {
-    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
-    match (codings.next(), codings.next()) {
-        (None, _) => {}
-        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
-            return Some(BodyLength::Unknown)
-        }
-        _ => return None,
-    }
-    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
-    match (lengths.next(), lengths.next()) {
-        (None, _) => Some(BodyLength::Unknown),
-        (Some(length), None) => length.to_str().ok()?.parse().ok().map(BodyLength::Known),
-        _ => None,
-    }
-}
-
 /// Returns the outcome of an attempt according to its response head.
 pub(super) fn outcome(
     protocol: UpstreamProtocol,
--- a/src/net/attempts/tests.rs
+++ b/src/net/attempts/tests.rs
@@ -1,4 +1,4 @@
-use super::message::{body_length, outcome, BodyLength};
+use super::message::outcome;
 use super::*;
 use hyper::header::{HeaderMap, HeaderValue};
 
--- a/src/net/gateway/response.rs
+++ b/src/net/gateway/response.rs
@@ -7,11 +7,13 @@
 };
 use crate::net::driver::FinalResponse;
 use crate::net::installation::ActiveInstallation;
-use crate::net::stream::{ClientResponseBody, ResponseBody};
+use crate::net::stream::{written_length, ClientResponseBody, ResponseBody};
 use crate::net::upstream::EndpointResponse;
 use bytes::Bytes;
 use dewrun_agent::Reservation;
-use dewrun_forwarding::{append_proxy_status, append_via, remove_hop_by_hop_headers};
+use dewrun_forwarding::{
+    append_proxy_status, append_via, remove_hop_by_hop_headers, set_length_headers, RelayedMessage,
+};
 use http_body_util::Full;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
@@ -77,7 +79,7 @@
         response
     }
 
-    /// Returns the response to a request that was rejection_response without being forwarded.
+    /// Returns the response to a request that is rejected without being forwarded.
     pub(super) fn rejection_response(&self, after_ms: f64) -> ClientResponse {
         let mut response = self.with_proxy_error(rejection(0.0), "destination_unavailable");
         let headers = response.headers_mut();
@@ -91,9 +93,12 @@
     HeaderValue::from((after_ms / MS_PER_S).ceil().max(1.0) as u64)
 }
 
-/// Returns an endpoint's response as it is relay to the client.
+/// Returns an endpoint's response as it is relayed to the client.
 fn relay(forwarded: ForwardedRequest<'_>, endpoint_response: EndpointResponse) -> ClientResponse {
+    let status = endpoint_response.status;
+    let mut headers = endpoint_response.headers;
     let body = match endpoint_response.body {
+        _ if forwarded.is_head => ClientResponseBody::from(Full::new(Bytes::new())),
         ResponseBody::Buffered(body) => {
             let bytes = Full::new(body.bytes.clone());
             forwarded.connection.hold_response_memory(body);
@@ -103,20 +108,20 @@
             ClientResponseBody::Streamed(body_stream, Box::new(forwarded.reservation))
         }
     };
-    let mut response = Response::new(body);
-    *response.status_mut() = endpoint_response.status;
-    *response.headers_mut() = endpoint_response.headers;
-    let headers = response.headers_mut();
-    remove_hop_by_hop_headers(headers);
+    remove_hop_by_hop_headers(&mut headers);
     append_via(
-        headers,
+        &mut headers,
         hyper::Version::HTTP_11,
         forwarded.installation.name(),
     );
-    if forwarded.is_head {
-        // Content-Length is that of the response to a GET; an empty body leaves the header as it
-        // is.
-        *response.body_mut() = ClientResponseBody::Buffered(Full::new(Bytes::new()));
-    }
+    let message = RelayedMessage::Response {
+        status,
+        is_to_head: forwarded.is_head,
+        received_length: endpoint_response.stated_length,
+    };
+    set_length_headers(&mut headers, message, written_length(&body));
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
     response
 }
--- a/src/net/platform/handler.rs
+++ b/src/net/platform/handler.rs
@@ -10,10 +10,11 @@
 use crate::net::headers::single_header;
 use crate::net::io::{GuardedIo, TrackedSocket};
 use crate::net::limits::{Limits, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MAX_READ_AHEAD_BYTES};
-use crate::net::stream::{ClientResponseBody, ResponseBody, UploadProgress};
+use crate::net::stream::{written_length, ClientResponseBody, ResponseBody, UploadProgress};
 use crate::net::upstream::{ClientRequest, EndpointResponse, RequestBody, Upstream};
 use dewrun_admin::{Disposition, EndpointCounts, Metrics, RequestMetric};
 use dewrun_balancer::{Class, Settings, Tenant};
+use dewrun_forwarding::{set_length_headers, RelayedMessage};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::CONTENT_TYPE;
@@ -297,12 +298,18 @@
             ClientResponseBody::Streamed(body_stream, Box::new(guard))
         }
     };
+    let length = written_length(&body);
     let mut response = Response::new(body);
+    let message = RelayedMessage::Response {
+        status: response.status(),
+        is_to_head: false,
+        received_length: endpoint_response.stated_length,
+    };
+    let headers = response.headers_mut();
     if let Some(content_type) = endpoint_response.headers.get(CONTENT_TYPE) {
-        response
-            .headers_mut()
-            .insert(CONTENT_TYPE, content_type.clone());
+        headers.insert(CONTENT_TYPE, content_type.clone());
     }
+    set_length_headers(headers, message, length);
     response
 }
 
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -3,6 +3,7 @@
 
 use super::limits;
 use bytes::Bytes;
+use dewrun_forwarding::BodyLength;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::any::Any;
@@ -33,6 +34,12 @@
 
 impl std::error::Error for TruncatedMessage {}
 
+/// Returns the length with which a body will be written.
+pub fn written_length(body: &impl Body) -> BodyLength {
+    let bytes = body.size_hint().exact();
+    bytes.map_or(BodyLength::Unknown, BodyLength::Known)
+}
+
 /// Progress of a streamed request body.
 #[derive(Default)]
 pub struct UploadProgress {
@@ -218,14 +225,18 @@
 }
 
 impl StreamedResponseBody {
-    /// Creates a body, with its length if that is known, and the sender of its chunks.
-    pub fn new(length: Option<u64>) -> (ChunkSender, StreamedResponseBody) {
+    /// Creates a body of a length, and the sender of its chunks.
+    pub fn new(length: BodyLength) -> (ChunkSender, StreamedResponseBody) {
         let (sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
+        let remaining = match length {
+            BodyLength::Known(bytes) => Some(bytes),
+            BodyLength::Unknown => None,
+        };
         (
             sender,
             StreamedResponseBody {
                 chunks,
-                remaining: length,
+                remaining,
                 is_broken: false,
                 is_complete: Rc::default(),
             },
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -10,7 +10,9 @@
 use super::unsolicited::UnsolicitedBytes;
 use dewrun_admin::Counter;
 use dewrun_balancer::{EndpointId, Outcome, Report, ReportField};
+use dewrun_forwarding::BodyLength;
 use hyper::header::{HeaderMap, HeaderName};
+use hyper::http::response::Parts as Head;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, StatusCode};
 use idle::IdleConnection;
@@ -92,10 +94,25 @@
     pub status: StatusCode,
     /// Headers.
     pub headers: HeaderMap,
+    /// Length that the headers state: that of the body, or of the response to a GET if there can be
+    /// no body.
+    pub stated_length: BodyLength,
     /// Body.
     pub body: ResponseBody,
 }
 
+impl EndpointResponse {
+    /// Creates a response from its head, the length that the head states, and the body.
+    pub fn new(head: Head, stated_length: BodyLength, body: ResponseBody) -> EndpointResponse {
+        EndpointResponse {
+            status: head.status,
+            headers: head.headers,
+            stated_length,
+            body,
+        }
+    }
+}
+
 /// The protocol that endpoints speak.
 #[derive(Clone, Copy, PartialEq)]
 pub enum UpstreamProtocol {
--- a/tests/installation/main.rs
+++ b/tests/installation/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod command;
 mod late_answers;
+mod lengths;
 mod pools;
 mod reload;
 mod reuse;
