Forward a large chunked body of a GET or HEAD, which was left out

Callers saw: in an installation a GET or HEAD in chunks with a body above kept_body reached the member with no body; its answer went to the caller as if to the whole request.

Cause: the forwarded request stated no length, so hyper chose one. For a body of unknown length it chooses chunks, but no body for GET, HEAD and CONNECT.

Change: requests state their length through set_length_headers, as responses do. The two length headers leave the list of those that the platform's requests lose, as they are replaced in one place now.

Why it works: hyper writes chunks with every method where the headers ask for them.

Result: a_large_chunked_body_reaches_the_endpoint_whatever_the_method failed before (0 of 200,000 bytes with GET and HEAD) and passes. Tests of the program's package pass but for the two known failures.

--- a/crates/forwarding/src/length.rs
+++ b/crates/forwarding/src/length.rs
@@ -20,6 +20,8 @@
 /// A message that is relayed, as far as it determines which length its headers state.
 #[derive(Clone, Copy, Debug)]
 pub enum RelayedMessage {
+    /// A request.
+    Request,
     /// A response.
     Response {
         /// The status.
@@ -53,8 +55,9 @@
 /// Replaces the length headers of a received message by those of the relayed one, whose body is
 /// written with the length `body`.
 ///
-/// `Transfer-Encoding: chunked` is also set for an HTTP/1.0 client; its connection omits the header
-/// and ends with the body.
+/// A body of unknown length is chunked. For an HTTP/1.0 client hyper omits the header and ends the
+/// connection with the body. For a request the header is needed with every method: without it, hyper
+/// drops the body of a GET or HEAD.
 pub fn set_length_headers(headers: &mut HeaderMap, message: RelayedMessage, body: BodyLength) {
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::TRANSFER_ENCODING);
@@ -72,18 +75,21 @@
 
 /// Returns the length that the headers of a relayed message state, if they state one.
 fn stated_length(message: RelayedMessage, body: BodyLength) -> Option<BodyLength> {
-    let RelayedMessage::Response {
-        status,
-        is_to_head,
-        received_length,
-    } = message;
-    if status == StatusCode::NO_CONTENT {
-        // RFC 9110, 8.6: it has no Content-Length.
-        return None;
-    }
-    if is_to_head || status == StatusCode::NOT_MODIFIED {
+    match message {
+        RelayedMessage::Request if body == BodyLength::Known(0) => None,
+        // RFC 9110, 8.6: a 204 has no Content-Length.
+        RelayedMessage::Response {
+            status: StatusCode::NO_CONTENT,
+            ..
+        } => None,
         // There is no body. The length is that of the response to a GET (RFC 9110, 8.6).
-        return Some(received_length).filter(|length| *length != BodyLength::Unknown);
+        RelayedMessage::Response {
+            status,
+            is_to_head,
+            received_length,
+        } if is_to_head || status == StatusCode::NOT_MODIFIED => {
+            Some(received_length).filter(|length| *length != BodyLength::Unknown)
+        }
+        RelayedMessage::Request | RelayedMessage::Response { .. } => Some(body),
     }
-    Some(body)
 }
--- a/crates/forwarding/tests/forwarding.rs
+++ b/crates/forwarding/tests/forwarding.rs
@@ -206,3 +206,14 @@
         }
     }
 }
+
+/// Guards against a forwarded request whose body is dropped, or has another length than is stated.
+#[test]
+fn a_relayed_request_states_the_length_of_its_body() {
+    use BodyLength::{Known, Unknown};
+    for body in [Known(5), Unknown] {
+        let mut all = headers(&[("content-length", "7"), ("transfer-encoding", "chunked")]);
+        set_length_headers(&mut all, RelayedMessage::Request, body);
+        assert_eq!((all.len(), body_length(&all)), (1, Some(body)));
+    }
+}
--- a/src/net/attempts/message.rs
+++ b/src/net/attempts/message.rs
@@ -1,25 +1,24 @@
 //! Requests to endpoints, and the interpretation of response heads.
 
-use crate::net::stream::OutboundBody;
+use crate::net::stream::{written_length, OutboundBody};
 use crate::net::upstream::{
     ClientRequest, RequestBody, UpstreamProtocol, NOT_STARTED_HEADER, REQUEST_TIMEOUT_HEADER,
 };
 use dewrun_balancer::Outcome;
+use dewrun_forwarding::{set_length_headers, RelayedMessage};
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, StatusCode, Uri};
 use std::net::SocketAddr;
 use std::time::Instant;
 
-/// Hop-by-hop headers, and headers that are set anew.
-pub(super) const REPLACED_HEADERS: [HeaderName; 8] = [
+/// Hop-by-hop headers that a client of the platform may send.
+const REPLACED_HEADERS: [HeaderName; 6] = [
     header::CONNECTION,
     header::PROXY_AUTHORIZATION,
     header::TE,
     header::TRAILER,
-    header::TRANSFER_ENCODING,
     header::UPGRADE,
-    header::CONTENT_LENGTH,
     header::EXPECT,
 ];
 
@@ -58,6 +57,7 @@
         RequestBody::Buffered(body) => OutboundBody::Buffered(Full::new(body.bytes.clone())),
         RequestBody::Streamed(body, _) => OutboundBody::Streamed(body.take()?),
     };
+    let length = written_length(&body);
     let mut request = Request::new(body);
     *request.method_mut() = client_request.method.clone();
     *request.uri_mut() = Uri::from(client_request.path.clone());
@@ -68,8 +68,7 @@
             .for_each(|name| drop(headers.remove(name)));
         headers.remove("keep-alive");
     }
-    // The length header is set again from the size of the body.
-    headers.remove(header::CONTENT_LENGTH);
+    set_length_headers(&mut headers, RelayedMessage::Request, length);
     headers.insert(REQUEST_TIMEOUT_HEADER, HeaderValue::from(remaining_ms));
     if !headers.contains_key(header::HOST) {
         headers.insert(
--- a/tests/installation/lengths.rs
+++ b/tests/installation/lengths.rs
@@ -130,3 +130,25 @@
         }
     }
 }
+
+/// Guards against a GET or HEAD whose chunked body is left out of the forwarded request.
+#[test]
+fn a_large_chunked_body_reaches_the_endpoint_whatever_the_method() {
+    let endpoint = endpoint_returning("HTTP/1.1 204 No Content\r\n\r\n".into());
+    let installation = Installation::with_members(&[endpoint.address]);
+    let body = body_of(LARGE_BODY_BYTES);
+    for method in ["GET", "HEAD", "DELETE", "OPTIONS", "POST", "QUERY"] {
+        let request = format!(
+            "{method} /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n{}",
+            chunked(&body)
+        );
+        assert_eq!(installation.call(&request).status(), 204, "{method}");
+        let seen = endpoint.requests.lock().unwrap().pop().expect("a request");
+        assert_eq!(
+            seen.body.len(),
+            body.len(),
+            "{method}: bytes at the endpoint"
+        );
+        assert!(seen.body == body.as_bytes(), "{method}: other bytes");
+    }
+}
