State Content-Length: 0 in an empty POST, PUT or PATCH that is forwarded

Callers saw: their Content-Length: 0 was dropped on the way. A server may refuse a request without a length with 411.

Cause: outbound_request left the length of a request to hyper, which states none for an empty body.

Change: set_length_headers knows the method of a request, and states 0 unless the method expects no body (RFC 9110, 8.6).

Result: an_empty_request_states_its_length_if_its_method_expects_a_body failed before and passes. That a server refused such a request was not played.

--- a/crates/forwarding/src/length.rs
+++ b/crates/forwarding/src/length.rs
@@ -5,7 +5,7 @@
 //! message, and [`set_length_headers`] states the length of the body that is written.
 
 use http::header::{self, HeaderMap, HeaderValue};
-use http::StatusCode;
+use http::{Method, StatusCode};
 
 /// The length of a message body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,9 +19,12 @@
 
 /// A message that is relayed, as far as it determines which length its headers state.
 #[derive(Clone, Copy, Debug)]
-pub enum RelayedMessage {
+pub enum RelayedMessage<'a> {
     /// A request.
-    Request,
+    Request {
+        /// The method.
+        method: &'a Method,
+    },
     /// A response.
     Response {
         /// The status.
@@ -58,7 +61,7 @@
 /// A body of unknown length is chunked. For an HTTP/1.0 client hyper omits the header and ends the
 /// connection with the body. For a request the header is needed with every method: without it, hyper
 /// drops the body of a GET or HEAD.
-pub fn set_length_headers(headers: &mut HeaderMap, message: RelayedMessage, body: BodyLength) {
+pub fn set_length_headers(headers: &mut HeaderMap, message: RelayedMessage<'_>, body: BodyLength) {
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::TRANSFER_ENCODING);
     match stated_length(message, body) {
@@ -74,9 +77,11 @@
 }
 
 /// Returns the length that the headers of a relayed message state, if they state one.
-fn stated_length(message: RelayedMessage, body: BodyLength) -> Option<BodyLength> {
+fn stated_length(message: RelayedMessage<'_>, body: BodyLength) -> Option<BodyLength> {
     match message {
-        RelayedMessage::Request if body == BodyLength::Known(0) => None,
+        RelayedMessage::Request { method } if body == BodyLength::Known(0) => {
+            Some(body).filter(|_| anticipates_body(method))
+        }
         // RFC 9110, 8.6: a 204 has no Content-Length.
         RelayedMessage::Response {
             status: StatusCode::NO_CONTENT,
@@ -90,6 +95,20 @@
         } if is_to_head || status == StatusCode::NOT_MODIFIED => {
             Some(received_length).filter(|length| *length != BodyLength::Unknown)
         }
-        RelayedMessage::Request | RelayedMessage::Response { .. } => Some(body),
+        RelayedMessage::Request { .. } | RelayedMessage::Response { .. } => Some(body),
     }
 }
+
+/// Returns whether an empty request of this method states its length (RFC 9110, 8.6). Servers may
+/// reject a POST without a length.
+fn anticipates_body(method: &Method) -> bool {
+    !matches!(
+        *method,
+        Method::GET
+            | Method::HEAD
+            | Method::DELETE
+            | Method::CONNECT
+            | Method::OPTIONS
+            | Method::TRACE
+    )
+}
--- a/crates/forwarding/tests/forwarding.rs
+++ b/crates/forwarding/tests/forwarding.rs
@@ -211,9 +211,28 @@
 #[test]
 fn a_relayed_request_states_the_length_of_its_body() {
     use BodyLength::{Known, Unknown};
-    for body in [Known(5), Unknown] {
+    let search = Method::from_bytes(b"SEARCH").expect("a method");
+    for (method, body, headers_left) in [
+        (Method::GET, Known(5), 1),
+        (Method::GET, Unknown, 1),
+        (Method::HEAD, Unknown, 1),
+        (Method::POST, Known(5), 1),
+        (Method::POST, Unknown, 1),
+        (Method::POST, Known(0), 1),
+        (Method::PUT, Known(0), 1),
+        (Method::PATCH, Known(0), 1),
+        (search, Known(0), 1),
+        (Method::GET, Known(0), 0),
+        (Method::DELETE, Known(0), 0),
+        (Method::OPTIONS, Known(0), 0),
+    ] {
         let mut all = headers(&[("content-length", "7"), ("transfer-encoding", "chunked")]);
-        set_length_headers(&mut all, RelayedMessage::Request, body);
-        assert_eq!((all.len(), body_length(&all)), (1, Some(body)));
+        set_length_headers(&mut all, RelayedMessage::Request { method: &method }, body);
+        let stated = if headers_left == 1 { body } else { Unknown };
+        assert_eq!(
+            (all.len(), body_length(&all)),
+            (headers_left, Some(stated)),
+            "{method} {body:?}"
+        );
     }
 }
--- a/src/net/attempts/message.rs
+++ b/src/net/attempts/message.rs
@@ -68,7 +68,10 @@
             .for_each(|name| drop(headers.remove(name)));
         headers.remove("keep-alive");
     }
-    set_length_headers(&mut headers, RelayedMessage::Request, length);
+    let message = RelayedMessage::Request {
+        method: &client_request.method,
+    };
+    set_length_headers(&mut headers, message, length);
     headers.insert(REQUEST_TIMEOUT_HEADER, HeaderValue::from(remaining_ms));
     if !headers.contains_key(header::HOST) {
         headers.insert(
--- a/tests/installation/lengths.rs
+++ b/tests/installation/lengths.rs
@@ -152,3 +152,36 @@
         assert!(seen.body == body.as_bytes(), "{method}: other bytes");
     }
 }
+
+/// Guards against an empty POST without a length, which a server may reject with 411.
+#[test]
+fn an_empty_request_states_its_length_if_its_method_expects_a_body() {
+    let endpoint = endpoint_returning("HTTP/1.1 204 No Content\r\n\r\n".into());
+    let installation = Installation::with_members(&[endpoint.address]);
+    let zero = "Content-Length: 0\r\n\r\n";
+    for (method, framing, stated) in [
+        ("POST", zero, Some("0")),
+        ("PUT", zero, Some("0")),
+        ("PATCH", zero, Some("0")),
+        ("POST", "\r\n", Some("0")),
+        (
+            "POST",
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            Some("0"),
+        ),
+        ("GET", zero, None),
+        ("GET", "\r\n", None),
+        ("HEAD", zero, None),
+        ("DELETE", zero, None),
+        ("OPTIONS", "\r\n", None),
+    ] {
+        let request = format!("{method} /p HTTP/1.1\r\nHost: a\r\n{framing}");
+        assert_eq!(installation.call(&request).status(), 204, "{method}");
+        let seen = endpoint.requests.lock().unwrap().pop().expect("a request");
+        let lengths = (
+            seen.header("content-length"),
+            seen.header("transfer-encoding"),
+        );
+        assert_eq!(lengths, (stated, None), "{method} {framing:?}");
+    }
+}
