Split the response of an attempt from its request; move the test of lengths to its crate

What a response head implies, and the body, buffered or streamed, are a module now. The test of contradictory lengths goes to the crate of body_length, with its assertions as they were.

Behaviour is as before.

--- a/crates/forwarding/tests/forwarding.rs
+++ b/crates/forwarding/tests/forwarding.rs
@@ -247,3 +247,27 @@
     let all = headers(&[("content-length", "5")]);
     assert_eq!(body_length(&all), Some(BodyLength::Known(5)));
 }
+
+#[test]
+fn contradictory_length_headers_are_rejected() {
+    let known = |pairs: &[_]| match body_length(&headers(pairs)) {
+        Some(BodyLength::Known(length)) => Some(Some(length)),
+        Some(BodyLength::Unknown) => Some(None),
+        None => None,
+    };
+    assert_eq!(known(&[]), Some(None));
+    assert_eq!(known(&[("content-length", "5")]), Some(Some(5)));
+    assert_eq!(known(&[("transfer-encoding", "Chunked")]), Some(None));
+    for pairs in [
+        &[("content-length", "5"), ("content-length", "5")][..],
+        &[("content-length", "5, 5")],
+        &[("content-length", "-5")],
+        &[("transfer-encoding", "gzip, chunked")],
+        &[
+            ("transfer-encoding", "chunked"),
+            ("transfer-encoding", "chunked"),
+        ],
+    ] {
+        assert_eq!(known(pairs), None, "{pairs:?}");
+    }
+}
--- /dev/null
+++ b/src/net/attempts/response.rs
@@ -0,0 +1,223 @@
+//! Responses of endpoints: what a head implies, and the body, buffered or streamed.
+
+use super::exchange::Exchange;
+use super::message::outcome;
+use super::{Attempt, AttemptHooks};
+use crate::net::limits::{Body, ResourceReservation, MAX_BODY_BYTES, RESPONSE_IDLE_TIMEOUT};
+use crate::net::stream::{ResponseBody, StreamedResponseBody, TruncatedMessage};
+use crate::net::upstream::{AttemptOutcome, EndpointResponse, UpstreamProtocol};
+use bytes::{Bytes, BytesMut};
+use dewrun_balancer::{Outcome, Report};
+use dewrun_forwarding::{body_length, BodyLength};
+use hyper::body::{Body as _, Incoming};
+use hyper::header;
+use hyper::http::response::Parts as Head;
+use hyper::{Method, Response, StatusCode};
+use std::time::{Duration, Instant};
+use tokio::time::timeout_at;
+
+/// A response whose head has arrived.
+pub(super) struct Received {
+    pub(super) exchange: Exchange,
+    pub(super) response: Response<Incoming>,
+    /// Time until which the body may arrive, if it is buffered.
+    pub(super) until: Instant,
+    /// Part of the latency that the endpoint did not cause.
+    pub(super) excluded_latency: Duration,
+}
+
+/// Conclusions from the head of a response.
+struct Verdict {
+    outcome: Outcome,
+    /// Outcome if the body is cut off.
+    outcome_if_truncated: Outcome,
+    /// Whether the body is forwarded to the client. On the platform only a response with outcome Ok
+    /// has such a body.
+    is_forwarded: bool,
+    report: Report,
+    /// Status of a response that rejects the request itself.
+    client_error: Option<StatusCode>,
+}
+
+impl Verdict {
+    fn ended(&self, outcome: Outcome) -> AttemptOutcome {
+        AttemptOutcome {
+            report: self.report,
+            client_error: self.client_error,
+            ..AttemptOutcome::ended_now(outcome)
+        }
+    }
+}
+
+/// Result of buffering a body.
+enum BufferResult {
+    Complete(Body),
+    /// The body is longer than the buffer: it is streamed, starting with the bytes that were read.
+    TooLong(Bytes),
+    Ended(Box<AttemptOutcome>),
+}
+
+impl Attempt<'_> {
+    fn is_http(&self) -> bool {
+        self.upstream.protocol == UpstreamProtocol::Http
+    }
+
+    /// Buffers a response until it is complete, or streams it.
+    pub(super) async fn receive<CheckPermission, IsEndpointReady, BeginResponse>(
+        &self,
+        received: Received,
+        hooks: AttemptHooks<CheckPermission, IsEndpointReady, BeginResponse>,
+    ) -> AttemptOutcome
+    where
+        IsEndpointReady: Fn() -> bool,
+        BeginResponse: FnOnce(EndpointResponse),
+    {
+        let Received {
+            mut exchange,
+            response,
+            until,
+            excluded_latency,
+        } = received;
+        let (head, mut body) = response.into_parts();
+        let verdict = self.verdict(&head);
+        let Some(length) = self.trusted_length(&head) else {
+            return verdict.ended(verdict.outcome_if_truncated);
+        };
+        let is_empty = body.is_end_stream() || self.client_request.method == Method::HEAD;
+        let mut first = Bytes::new();
+        if let Some(memory) = self.reserve_buffer(&length, is_empty, verdict.outcome) {
+            let buffered = self
+                .buffer(&mut exchange, &mut body, until, memory, &verdict)
+                .await;
+            let at = exchange.conn.socket.last_read() - excluded_latency;
+            match buffered {
+                BufferResult::Complete(body) => {
+                    self.upstream
+                        .return_to_pool(self.target, exchange, &hooks.is_endpoint_ready)
+                        .await;
+                    let body = ResponseBody::Buffered(body);
+                    return answered(verdict, EndpointResponse::new(head, length, body), at);
+                }
+                BufferResult::TooLong(read) => first = read,
+                BufferResult::Ended(ended) => return *ended,
+            }
+        }
+        if !verdict.is_forwarded {
+            return verdict.ended(verdict.outcome);
+        }
+        let (to, body_stream) = StreamedResponseBody::new(length);
+        let body_begun = Instant::now();
+        let streamed_body = ResponseBody::Streamed(body_stream);
+        (hooks.begin_response)(EndpointResponse::new(head, length, streamed_body));
+        if !first.is_empty() {
+            // The channel is empty, so this cannot fail.
+            let _ = to.try_send(Ok(first));
+        }
+        let counted = self.upstream.limits.max_buffered_body_bytes;
+        let streamed = exchange
+            .stream_body(&mut body, &to, counted, self.upstream.response_timeouts)
+            .await;
+        if streamed.failure.is_none() {
+            self.upstream
+                .return_to_pool(self.target, exchange, &hooks.is_endpoint_ready)
+                .await;
+        }
+        let arrived_at = streamed
+            .at
+            .checked_sub(streamed.client_wait)
+            .unwrap_or(body_begun);
+        AttemptOutcome {
+            at: arrived_at.max(body_begun) - excluded_latency,
+            report: verdict.report,
+            ..AttemptOutcome::ended_now(streamed.failure.unwrap_or(verdict.outcome))
+        }
+    }
+
+    fn verdict(&self, head: &Head) -> Verdict {
+        let outcome = outcome(self.upstream.protocol, head.status, &head.headers);
+        let is_forwarded = self.is_http() || outcome == Outcome::Ok;
+        Verdict {
+            outcome,
+            outcome_if_truncated: if is_forwarded {
+                Outcome::Reset
+            } else {
+                outcome
+            },
+            is_forwarded,
+            report: self.upstream.report(&head.headers),
+            client_error: Some(head.status).filter(|_| outcome == Outcome::Cancelled),
+        }
+    }
+
+    /// Returns the length of a response if its head is plausible. On the platform a body must not
+    /// end with the connection, since that cannot be told from a cut-off body.
+    fn trusted_length(&self, head: &Head) -> Option<BodyLength> {
+        let length = body_length(&head.headers)?;
+        let has = |name| head.headers.contains_key(name);
+        let is_plausible = match length {
+            BodyLength::Known(length) => length <= MAX_BODY_BYTES,
+            BodyLength::Unknown => has(header::TRANSFER_ENCODING) && !has(header::CONTENT_LENGTH),
+        };
+        (self.is_http() || is_plausible).then_some(length)
+    }
+
+    /// Reserves memory for a response that is buffered: a failure response, since another attempt
+    /// may follow, and on the platform any response that fits, since it can be retried if it is cut
+    /// off. Returns `None` if the response is streamed.
+    fn reserve_buffer(
+        &self,
+        length: &BodyLength,
+        is_empty: bool,
+        outcome: Outcome,
+    ) -> Option<ResourceReservation> {
+        let max = self.upstream.limits.max_buffered_body_bytes as u64;
+        let expected = match length {
+            _ if is_empty => Some(0),
+            BodyLength::Known(length) => Some(*length).filter(|length| *length <= max),
+            BodyLength::Unknown => Some(max).filter(|_| !self.is_http() || outcome != Outcome::Ok),
+        };
+        expected.and_then(|length| self.upstream.limits.bytes.try_reserve(length as usize))
+    }
+
+    async fn buffer(
+        &self,
+        exchange: &mut Exchange,
+        body: &mut Incoming,
+        until: Instant,
+        memory: ResourceReservation,
+        verdict: &Verdict,
+    ) -> BufferResult {
+        let max = self.upstream.limits.max_buffered_body_bytes;
+        let pause = if self.is_http() {
+            self.upstream.response_timeouts.endpoint_idle
+        } else {
+            RESPONSE_IDLE_TIMEOUT
+        };
+        let mut read = BytesMut::new();
+        let collected = exchange.collect(body, max, pause, &mut read);
+        match timeout_at(until.into(), collected).await {
+            Ok(Ok(true)) => BufferResult::Complete(Body::new(read.freeze(), memory)),
+            Ok(Ok(false)) => BufferResult::TooLong(read.freeze()),
+            Ok(Err(TruncatedMessage)) => {
+                BufferResult::Ended(Box::new(verdict.ended(verdict.outcome_if_truncated)))
+            }
+            Err(_) if verdict.is_forwarded => {
+                self.upstream
+                    .close_idle_since(self.target.endpoint, self.started);
+                BufferResult::Ended(Box::new(AttemptOutcome::ended_now(Outcome::Timeout)))
+            }
+            Err(_) => BufferResult::TooLong(read.freeze()),
+        }
+    }
+}
+
+/// Returns the result of an attempt with a complete response.
+fn answered(verdict: Verdict, response: EndpointResponse, at: Instant) -> AttemptOutcome {
+    if !verdict.is_forwarded {
+        return AttemptOutcome {
+            at,
+            ..verdict.ended(verdict.outcome)
+        };
+    }
+    AttemptOutcome::with_response(verdict.outcome, at, verdict.report, response)
+}
--- a/src/net/attempts/tests.rs
+++ b/src/net/attempts/tests.rs
@@ -10,30 +10,6 @@
     headers
 }
 
-#[test]
-fn contradictory_length_headers_are_rejected() {
-    let known = |pairs: &[_]| match body_length(&headers(pairs)) {
-        Some(BodyLength::Known(length)) => Some(Some(length)),
-        Some(BodyLength::Unknown) => Some(None),
-        None => None,
-    };
-    assert_eq!(known(&[]), Some(None));
-    assert_eq!(known(&[("content-length", "5")]), Some(Some(5)));
-    assert_eq!(known(&[("transfer-encoding", "Chunked")]), Some(None));
-    for pairs in [
-        &[("content-length", "5"), ("content-length", "5")][..],
-        &[("content-length", "5, 5")],
-        &[("content-length", "-5")],
-        &[("transfer-encoding", "gzip, chunked")],
-        &[
-            ("transfer-encoding", "chunked"),
-            ("transfer-encoding", "chunked"),
-        ],
-    ] {
-        assert_eq!(known(pairs), None, "{pairs:?}");
-    }
-}
-
 #[test]
 fn only_a_server_error_is_a_failed_attempt() {
     let none = HeaderMap::new();
