--- a/review/stand-ins-2/src/bin/case-6.rs
+++ b/review/stand-ins-2/src/bin/case-6.rs
@@ -34,11 +34,13 @@
     });
     let first: Arc<Mutex<Option<Instant>>> = Arc::default();
     let trouble = case.trouble;
+    // For comparison, with HANG=1: the member answers nothing in place of breaking off.
+    let hangs = std::env::var("HANG").is_ok_and(|value| value == "1");
     let desk = server::start(case, "desk", &log, move |_| {
         let begun = *first.lock().unwrap().get_or_insert(Instant::now());
         if trouble && begun.elapsed() < BREAKS_OFF_AFTER {
             thread::sleep(BREAKS_OFF_AFTER.saturating_sub(begun.elapsed()));
-            return Reply::Close;
+            return if hangs { Reply::Hang } else { Reply::Close };
         }
         Reply::After(WORK, response("200 OK", "", b"signed off"))
     });
--- a/review/stand-ins-2/src/bin/case-7.rs
+++ b/review/stand-ins-2/src/bin/case-7.rs
@@ -3,7 +3,7 @@
 //! One process of the platform, two backends. With the disruption a bad client sends a release in
 //! chunks, begins the last chunk's line with a byte that can't be read, sends nothing more and stays.
 
-use review_2::discovery::Discovery;
+use review_2::discovery;
 use review_2::http::{call, response, Answer};
 use review_2::server::{self, Log, Reply};
 use review_2::{entry, free_address, list, platform_config, run, Case, Verdict};
@@ -37,10 +37,10 @@
         entry("s-1", backend("s-1"), "ready"),
         entry("s-2", backend("s-2"), "ready"),
     ];
-    let discovery = Discovery::start(case, "agent", 1, &entries, &[]);
+    let discovery = discovery::start(case, 1, &entries);
     let door = free_address();
     let known = list(1, true, &entries);
-    let config = platform_config(discovery.address, &known, "automatic", "8c1f30d27a5be964");
+    let config = platform_config(discovery, &known, "automatic", "8c1f30d27a5be964");
     let file = case.put("config.json", &config);
     let variables = [
         ("NODE_CONFIG", file.to_str().unwrap()),
--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -182,13 +182,6 @@
             "the signal is sent"
         );
     }
-
-    /// Whether the process has ended.
-    pub fn has_ended(&self) -> bool {
-        let mut children = self.case.children.lock().unwrap();
-        let child = children.iter_mut().find(|child| child.id() == self.pid);
-        child.is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
-    }
 }
 
 /// A free address for TCP and UDP, below the ports that connections get.
