Review, case 8: leave out of its stand-in what only the dropped case used

Need: the case of the reload was dropped, and left code behind. Change: cells.rs without the reload.

--- a/review/stand-ins-2/src/bin/case-8.rs
+++ b/review/stand-ins-2/src/bin/case-8.rs
@@ -3,7 +3,7 @@
 //! Two classes carry keys, with windows of 4 s and 20 s. With the disruption the operator drains both
 //! members of cell 1, and returns them 6 s later. Clients that gave up send their orders again.
 
-use review_2::cells::{fleet, members, run_in_both_cells, send_orders, Member, WINDOW};
+use review_2::cells::{fleet, members, run_in_both_cells, send_orders, WINDOW};
 use review_2::server::Log;
 use review_2::{operator, run, Case, Verdict};
 use std::thread;
@@ -16,8 +16,7 @@
 fn play(case: &Case) -> Verdict {
     let log = Log::default();
     let members = members(case, &log);
-    let all: Vec<&Member> = members.iter().collect();
-    let Some(instances) = fleet(case, &all) else {
+    let Some(instances) = fleet(case, &members) else {
         return Verdict::CouldNotRun("the fleet does not serve".into());
     };
     let order_all = |word: &str| -> bool {
--- a/review/stand-ins-2/src/cells.rs
+++ b/review/stand-ins-2/src/cells.rs
@@ -1,9 +1,9 @@
-//! What the cases on cells share: a fleet of three processes in front of two cells of servers, and
+//! What the case on cells rests on: a fleet of three processes in front of two cells of servers, and
 //! clients that give up and send a keyed order again with the same key.
 
 use crate::http::{call, response};
 use crate::server::{self, Log, Reply};
-use crate::{free_address, Case, Program};
+use crate::{free_address, Case};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -17,7 +17,7 @@
 pub const PATIENCE: Duration = Duration::from_millis(1_000);
 pub const ORDERS: usize = 30;
 
-/// For comparison, with PLAIN=1: no second window in case 8, no second change in case 9.
+/// For comparison, with PLAIN=1: both classes have the same window.
 pub fn plain() -> bool {
     std::env::var("PLAIN").is_ok_and(|value| value == "1")
 }
@@ -49,21 +49,17 @@
 
 /// A process of the fleet.
 pub struct Instance {
-    pub program: Program,
     pub door: SocketAddr,
     pub fleet: SocketAddr,
-    number: usize,
-    all: Vec<SocketAddr>,
 }
 
-/// Writes the file of one process; `more` goes to its end.
+/// Writes the file of one process.
 fn site(
     case: &Case,
     number: usize,
     door: SocketAddr,
     all: &[SocketAddr],
-    members: &[&Member],
-    more: &str,
+    members: &[Member],
 ) -> PathBuf {
     let voters: Vec<String> = all.iter().map(|address| format!("\"{address}\"")).collect();
     let servers: Vec<String> = members
@@ -123,7 +119,7 @@
 
 [[route]]
 pool = "shop"
-{more}"#,
+"#,
         all[number],
         voters.join(", "),
         servers.concat(),
@@ -134,23 +130,17 @@
 }
 
 /// Starts three processes and waits until each serves. `None` if one does not.
-pub fn fleet(case: &Case, members: &[&Member]) -> Option<Vec<Instance>> {
+pub fn fleet(case: &Case, members: &[Member]) -> Option<Vec<Instance>> {
     let all: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
     let instances: Vec<Instance> = (0..3)
         .map(|number| {
             let door = free_address();
-            let file = site(case, number, door, &all, members, "");
-            let program = case.start(
-                &format!("i{number}"),
-                &format!("serve --config {}", file.display()),
-                &[],
-            );
+            let file = site(case, number, door, &all, members);
+            let arguments = format!("serve --config {}", file.display());
+            case.start(&format!("i{number}"), &arguments, &[]);
             Instance {
-                program,
                 door,
                 fleet: all[number],
-                number,
-                all: all.clone(),
             }
         })
         .collect();
@@ -166,14 +156,6 @@
     are_up.then_some(instances)
 }
 
-impl Instance {
-    /// Replaces the file of the process and has it read again.
-    pub fn reload(&self, case: &Case, members: &[&Member], more: &str) {
-        site(case, self.number, self.door, &self.all, members, more);
-        self.program.signal("HUP");
-    }
-}
-
 /// All clients send their order at once, each to one of the processes, and give it up after
 /// [`PATIENCE`]. Returns when all have.
 pub fn send_orders(case: &Case, instances: &[Instance], round: &str) {
