End a malformed message at its reader, in both directions

Cause: the validator passed the line between chunks on byte by byte, and behind a rejected byte the reader gave hyper bytes that hyper was assumed to reject at every place. Within an extension it takes them for the end of the message. Responses were not validated at all.

Change: behind a malformed body the read fails; only for a head, of which hyper has read nothing, it still gets bytes that are no request line. Lines between chunks are passed on whole. ResponseValidator does the same for the responses of endpoints, of the parts that both validators share. The admin address reads through the same reader. GuardedIo is now ClientIo.

--- a/crates/framing/src/error.rs
+++ b/crates/framing/src/error.rs
@@ -1,6 +1,6 @@
-//! The reasons for rejecting a request.
+//! The reasons for rejecting a message.
 
-/// A defect in the framing of a request. The text is sent to the client.
+/// A defect in the framing of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FramingError {
     /// A line ends in a bare LF, or a CR is not followed by an LF.
@@ -9,6 +9,10 @@
     /// The request line is not `METHOD target HTTP/1.x`.
     #[error("the request line is malformed")]
     RequestLine,
+    /// The status line is not `HTTP/1.x status reason`, or switches to a protocol that was not
+    /// asked for.
+    #[error("the status line is malformed")]
+    StatusLine,
     /// A header line is folded, has no colon, a name that is not a token, or a control byte in its
     /// value.
     #[error("a header is malformed")]
@@ -28,3 +32,21 @@
     #[error("the head is too large")]
     TooLarge,
 }
+
+/// The part of a request in which a defect was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MessagePart {
+    /// The head, of which no byte was passed on.
+    Head,
+    /// The body, whose head was passed on.
+    Body,
+}
+
+/// The rejection of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// The defect.
+    pub error: FramingError,
+    /// Where it was found.
+    pub part: MessagePart,
+}
--- a/crates/framing/src/head.rs
+++ b/crates/framing/src/head.rs
@@ -1,18 +1,8 @@
 //! Checks of complete request heads and trailers.
 
+use crate::body::BodyFraming;
 use crate::error::FramingError;
 
-/// How the body after a head is framed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum BodyFraming {
-    /// The request has no body.
-    None,
-    /// The body has this many bytes, at least one.
-    Length(u64),
-    /// The body is chunked.
-    Chunked,
-}
-
 /// Returns the end of a head or of trailers, which is the offset after the first empty line.
 /// Earlier calls have searched the first `searched` bytes.
 ///
@@ -48,7 +38,7 @@
 }
 
 /// Returns the lines of a head or of trailers, without the empty line at the end.
-fn lines(bytes: &[u8]) -> Result<impl Iterator<Item = &[u8]>, FramingError> {
+pub(crate) fn lines(bytes: &[u8]) -> Result<impl Iterator<Item = &[u8]>, FramingError> {
     if has_bare_line_end(bytes, 0) {
         return Err(FramingError::LineEnd);
     }
@@ -74,13 +64,13 @@
 }
 
 /// A header line, split at its colon.
-struct Header<'a> {
+pub(crate) struct Header<'a> {
     name: &'a [u8],
-    value: &'a [u8],
+    pub(crate) value: &'a [u8],
 }
 
 impl<'a> Header<'a> {
-    fn parse(line: &'a [u8]) -> Result<Header<'a>, FramingError> {
+    pub(crate) fn parse(line: &'a [u8]) -> Result<Header<'a>, FramingError> {
         let colon = line
             .iter()
             .position(|byte| *byte == b':')
@@ -97,7 +87,7 @@
         })
     }
 
-    fn is_named(&self, name: &str) -> bool {
+    pub(crate) fn is_named(&self, name: &str) -> bool {
         self.name.eq_ignore_ascii_case(name.as_bytes())
     }
 }
@@ -119,7 +109,7 @@
 
 /// Checks a complete head, including the empty line at its end, and returns the framing of the
 /// body.
-pub(crate) fn check_head(head: &[u8]) -> Result<BodyFraming, FramingError> {
+pub(crate) fn check_request_head(head: &[u8]) -> Result<BodyFraming, FramingError> {
     let mut lines = lines(head)?;
     let request_line = lines.next().ok_or(FramingError::RequestLine)?;
     let is_http_1_0 = check_request_line(request_line)? == HttpVersion::Http10;
@@ -130,8 +120,9 @@
     framing_headers.body_framing(is_http_1_0)
 }
 
+/// The version of a message.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum HttpVersion {
+pub(crate) enum HttpVersion {
     Http10,
     Http11,
 }
@@ -196,7 +187,7 @@
 
 /// Parses a length that consists of decimal digits only. The standard parser would also accept a
 /// sign.
-fn parse_content_length(value: &[u8]) -> Result<u64, FramingError> {
+pub(crate) fn parse_content_length(value: &[u8]) -> Result<u64, FramingError> {
     if !value.iter().all(u8::is_ascii_digit) {
         return Err(FramingError::Length);
     }
--- a/crates/framing/tests/validator.rs
+++ b/crates/framing/tests/requests.rs
@@ -1,16 +1,16 @@
 //! Which requests the validator passes on and rejects, independent of the split into reads.
 
-use dewrun_framing::{FramingError, FramingValidator};
+use dewrun_framing::{FramingError, RequestValidator};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
 /// Returns the bytes that are passed on, and the error, if a text is received in pieces of a size.
 fn run(text: &[u8], piece: usize) -> (Vec<u8>, Option<FramingError>) {
-    let mut validator = FramingValidator::new(1_000);
+    let mut validator = RequestValidator::new(1_000);
     let mut out = Vec::new();
     text.chunks(piece)
         .for_each(|piece| validator.push(piece, &mut out));
-    (out, validator.error())
+    (out, validator.rejection().map(|rejection| rejection.error))
 }
 
 /// Runs a text in pieces of every size, and checks that the results do not differ.
@@ -227,6 +227,9 @@
         ("5\r\nhelloX\r\n", FramingError::Chunk),
         ("5\r\nhello\n", FramingError::Chunk),
         ("5;a\nb\r\nhello\r\n", FramingError::Chunk),
+        ("0;\u{1}", FramingError::Chunk),
+        ("0;a=\u{7f}", FramingError::Chunk),
+        ("ffffffffff;\0", FramingError::Chunk),
         ("10000000000000000\r\n", FramingError::Chunk),
         ("0\r\nContent-Length: 5\r\n\r\n", FramingError::Length),
         (
@@ -247,6 +250,28 @@
     }
 }
 
+/// Guards against a line that the proxy ends in place of its client: nothing of a malformed line
+/// between chunks is passed on.
+#[test]
+fn no_byte_of_a_malformed_line_between_chunks_passes() {
+    let head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (good, malformed) in [
+        ("", "0;\u{1}"),
+        ("", "5;a\nb\r\n"),
+        ("5\r\nhello", "\rX"),
+        ("5\r\nhello\r\n", "0;\u{7f}"),
+        ("5\r\nhello\r\n", "0\rX"),
+    ] {
+        let (out, error) = run_in_all_pieces(&format!("{head}{good}{malformed}"));
+        assert_eq!(error, Some(FramingError::Chunk), "{malformed:?}");
+        assert_eq!(
+            String::from_utf8_lossy(&out),
+            format!("{head}{good}"),
+            "{malformed:?}"
+        );
+    }
+}
+
 #[test]
 fn chunk_extensions_and_trailers_are_bounded() {
     let head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `discovery` | the platform's discovery service |
 //! | `proxy`, `daemon` | the program, as its platform or an operator starts it |
 //! | `links` | the network between the processes of a fleet, with faults |
+//! | `malformed` | messages with a byte that makes them malformed |
 //! | `mutation` | senders of malformed packets, texts and files |
 //! | `golden`, `wait` | comparison with golden files; waiting for a condition |
 //!
@@ -27,6 +28,7 @@
 mod large;
 mod late_copies;
 mod links;
+mod malformed;
 mod message;
 mod mutation;
 mod proxy;
@@ -41,6 +43,7 @@
 pub use large::{quick, Large};
 pub use late_copies::{LateAnswer, LateCopies, SecondCopy};
 pub use links::{LinkFaults, Links, NO_FAULTS};
+pub use malformed::{malformed_at_every_place, MalformedMessage};
 pub use message::Message;
 pub use mutation::{mutation_count, Mutator};
 pub use proxy::{config, spawn, Proxy};
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -15,7 +15,7 @@
 };
 use super::headers::single_header;
 use super::installation::ActiveInstallation;
-use super::io::{GuardedIo, TrackedSocket};
+use super::io::{ClientIo, TrackedSocket};
 use super::limits::MAX_READ_AHEAD_BYTES;
 use super::pool::{Pool, PoolContext};
 use super::stream::ClientResponseBody;
@@ -251,10 +251,10 @@
 }
 
 impl RequestHandler for Gateway {
-    type Io = GuardedIo;
+    type Io = ClientIo;
 
-    fn io(&self, socket: Rc<TrackedSocket>) -> GuardedIo {
-        GuardedIo::new(socket, MAX_READ_AHEAD_BYTES)
+    fn io(&self, socket: Rc<TrackedSocket>) -> ClientIo {
+        ClientIo::new(socket, MAX_READ_AHEAD_BYTES)
     }
 
     async fn handle(
--- a/src/net/gateway/routing.rs
+++ b/src/net/gateway/routing.rs
@@ -129,7 +129,7 @@
 /// Returns the host that a request names in its target, or else in `Host`.
 fn request_host(head: &Parts) -> Result<Option<Cow<'_, str>>, RequestError> {
     let malformed_host = RequestError::bad_request("malformed Host");
-    // `GuardedIo` accepts only requests with one Host, or with none in HTTP/1.0.
+    // `ClientIo` accepts only requests with one Host, or with none in HTTP/1.0.
     let named = match head.headers.get(HOST) {
         None => None,
         Some(host) => {
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -1,9 +1,15 @@
 //! Adapters between hyper and a TCP stream. They record the time of the last read, from which
 //! deadlines are measured, and track a request while it is written, so that it is known whether its
-//! last byte was. [`GuardedIo`] checks every byte of a client before hyper reads it.
+//! last byte was. [`ClientIo`] and [`EndpointIo`] check every byte of a peer before hyper reads it.
+
+mod client;
+mod endpoint;
+mod passed;
+
+pub use client::ClientIo;
+pub use endpoint::EndpointIo;
 
 use dewrun_admin::Counter;
-use dewrun_framing::{FramingError, FramingValidator};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -319,82 +325,5 @@
     }
 }
 
-/// A [`TrackedSocket`] whose bytes pass a [`FramingValidator`] before hyper reads them. In place of a request
-/// that the validator rejects, hyper reads bytes that hyper rejects itself, so that the client gets an
-/// error response and the connection is closed.
-pub struct GuardedIo {
-    io: Io,
-    validator: FramingValidator,
-    /// Bytes that the validator has accepted and hyper has not read yet.
-    ready: Vec<u8>,
-    read: usize,
-}
-
-impl GuardedIo {
-    /// Guards a socket, for request heads up to a size.
-    pub fn new(socket: Rc<TrackedSocket>, max_head_bytes: usize) -> GuardedIo {
-        GuardedIo {
-            io: Io(socket),
-            validator: FramingValidator::new(max_head_bytes),
-            ready: Vec::new(),
-            read: 0,
-        }
-    }
-}
-
-impl Read for GuardedIo {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        mut buf: ReadBufCursor<'_>,
-    ) -> Poll<Result<()>> {
-        let me = &mut *self;
-        while me.read == me.ready.len() {
-            me.ready.clear();
-            me.read = 0;
-            match me.validator.error() {
-                // These are more bytes than hyper accepts as a head, so it responds with an error.
-                Some(FramingError::TooLarge) => me.ready.extend_from_slice(&[b'x'; CHUNK_BYTES]),
-                Some(_) => me.ready.extend_from_slice(b"\0\r\n\r\n"),
-                None => {
-                    let mut chunk = [0; CHUNK_BYTES];
-                    let n = ready!(me.io.0.poll_read_into(cx, &mut chunk))?;
-                    if n == 0 {
-                        return Poll::Ready(Ok(()));
-                    }
-                    me.validator.push(&chunk[..n], &mut me.ready);
-                }
-            }
-        }
-        let n = buf.remaining().min(me.ready.len() - me.read);
-        buf.put_slice(&me.ready[me.read..me.read + n]);
-        me.read += n;
-        if me.read == me.ready.len() {
-            // An idle connection keeps no buffer.
-            me.ready = Vec::new();
-            me.read = 0;
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl Write for GuardedIo {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/platform/control.rs
+++ b/src/net/platform/control.rs
@@ -6,7 +6,7 @@
 
 use super::handler::PlatformHandler;
 use crate::net::client::{plain_response, ClientResponse, DrainState};
-use crate::net::io::{Io, TrackedSocket};
+use crate::net::io::{ClientIo, TrackedSocket};
 use crate::net::limits::MAX_READ_AHEAD_BYTES;
 use crate::net::stream::ClientResponseBody;
 use bytes::Bytes;
@@ -76,7 +76,7 @@
             let response = self.respond(&request);
             async move { Ok::<_, Infallible>(response) }
         });
-        let socket = Io(TrackedSocket::new(stream));
+        let socket = ClientIo::new(TrackedSocket::new(stream), MAX_READ_AHEAD_BYTES);
         // An error means that the client disconnected, or that its request was malformed, to which
         // hyper responds itself.
         let _ = http1::Builder::new()
--- a/src/net/platform/handler.rs
+++ b/src/net/platform/handler.rs
@@ -8,7 +8,7 @@
 };
 use crate::net::driver::{Driver, FinalResponse, RequestGuard};
 use crate::net::headers::single_header;
-use crate::net::io::{GuardedIo, TrackedSocket};
+use crate::net::io::{ClientIo, TrackedSocket};
 use crate::net::limits::{Limits, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MAX_READ_AHEAD_BYTES};
 use crate::net::stream::{written_length, ClientResponseBody, ResponseBody, UploadProgress};
 use crate::net::upstream::{ClientRequest, EndpointResponse, RequestBody, Upstream};
@@ -69,10 +69,10 @@
 }
 
 impl RequestHandler for PlatformHandler {
-    type Io = GuardedIo;
+    type Io = ClientIo;
 
-    fn io(&self, socket: Rc<TrackedSocket>) -> GuardedIo {
-        GuardedIo::new(socket, MAX_READ_AHEAD_BYTES)
+    fn io(&self, socket: Rc<TrackedSocket>) -> ClientIo {
+        ClientIo::new(socket, MAX_READ_AHEAD_BYTES)
     }
 
     async fn handle(
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to an endpoint and its reuse.
 
-use crate::net::io::{Io, TrackedSocket};
+use crate::net::io::{EndpointIo, TrackedSocket};
 use crate::net::limits::{ResourceReservation, MAX_READ_AHEAD_BYTES};
 use crate::net::stream::OutboundBody;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
@@ -15,7 +15,7 @@
 /// request in flight, so that no attempt continues after it is abandoned.
 pub struct EndpointConnection {
     pub(in crate::net) sender: SendRequest<OutboundBody>,
-    pub(in crate::net) protocol: Pin<Box<Connection<Io, OutboundBody>>>,
+    pub(in crate::net) protocol: Pin<Box<Connection<EndpointIo, OutboundBody>>>,
     pub(in crate::net) socket: Rc<TrackedSocket>,
     /// Number of complete exchanges on this connection.
     pub(super) exchanges: u32,
@@ -55,7 +55,7 @@
         let socket = TrackedSocket::new(stream);
         let (sender, protocol) = Builder::new()
             .max_buf_size(MAX_READ_AHEAD_BYTES)
-            .handshake(Io(socket.clone()))
+            .handshake(EndpointIo::new(socket.clone(), MAX_READ_AHEAD_BYTES))
             .await?;
         Ok(EndpointConnection {
             sender,
--- a/tests/installation/main.rs
+++ b/tests/installation/main.rs
@@ -5,6 +5,7 @@
 mod command;
 mod late_answers;
 mod lengths;
+mod malformed;
 mod pools;
 mod reload;
 mod reuse;
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of the platform's proxy over loopback sockets.
 
 mod hostile;
+mod malformed;
 mod service;
 use dewrun_test_support::*;
 use std::io::{BufReader, ErrorKind, Read, Write};
