Relay no response that answers for another attempt that may have run

Cause: the response of an earlier attempt was kept when a later one ended without one, and went before the failure that the balancer had decided on, also while an attempt was in flight. A later rejection could answer for an earlier attempt that may have run, too.

Change: OpenRequest::record_end alone says which response answers for all attempts. After an attempt that may have run it is that attempt's response or none; a response that promises no execution counts only while none may have run; while an attempt is in flight no earlier response is given.

--- a/src/net/attempts/message.rs
+++ b/src/net/attempts/message.rs
@@ -2,7 +2,7 @@
 
 use crate::net::stream::{written_length, OutboundBody};
 use crate::net::upstream::{
-    ClientRequest, RequestBody, UpstreamProtocol, NOT_STARTED_HEADER, REQUEST_TIMEOUT_HEADER,
+    is_not_started, ClientRequest, RequestBody, UpstreamProtocol, REQUEST_TIMEOUT_HEADER,
 };
 use dewrun_balancer::Outcome;
 use dewrun_forwarding::{set_length_headers, RelayedMessage};
@@ -28,13 +28,8 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) -> Outcome {
-    let is_not_started = headers
-        .get(NOT_STARTED_HEADER)
-        .is_some_and(|value| value == "1");
     match (status, protocol) {
-        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if is_not_started => {
-            Outcome::Full
-        }
+        _ if is_not_started(status, headers) => Outcome::Full,
         (status, UpstreamProtocol::Http) if status.is_server_error() => Outcome::Error,
         (_, UpstreamProtocol::Http) | (StatusCode::OK, _) => Outcome::Ok,
         (StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS, _) => Outcome::Error,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -45,6 +45,9 @@
 /// Interval at which the log summarizes rejected and failed requests.
 const UNSERVED_SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Why a response that promises no execution is not relayed.
+const EARLIER_ATTEMPT_MAY_HAVE_RUN: &str = "an earlier attempt may have run";
+
 enum QueuedEvent {
     List(ListKind, u32, Vec<EndpointInfo>),
     Event(Event<'static>),
@@ -436,13 +439,7 @@
         let attempt = in_flight.attempt;
         // This releases the reservation of the attempt, so that the next attempt can use it.
         drop(in_flight);
-        if !result.outcome.was_not_executed() {
-            open_request.possibly_executed_since =
-                open_request.possibly_executed_since.or(Some(sent));
-        }
-        open_request.last_error_response = result
-            .last_error_response
-            .or(open_request.last_error_response.take());
+        open_request.record_end(sent, result.outcome, result.last_error_response);
         let final_response = match (result.response, result.client_error) {
             (Some(response), _) => Some(FinalResponse::Served(response)),
             (None, Some(status)) => Some(FinalResponse::FaultyRequest(status)),
@@ -480,10 +477,14 @@
             .in_flight
             .as_ref()
             .map_or(0, |in_flight| in_flight.attempt);
-        open_request.respond(
-            FinalResponse::Served(response),
-            "a backend's answer, as it comes",
-        );
+        if response.is_not_started() && open_request.possibly_executed_since.is_some() {
+            open_request.respond(FinalResponse::Failed, EARLIER_ATTEMPT_MAY_HAVE_RUN);
+        } else {
+            open_request.respond(
+                FinalResponse::Served(response),
+                "a backend's answer, as it comes",
+            );
+        }
         let took_ms = sent.elapsed().as_secs_f64() * 1000.0;
         self.handle(
             state,
--- a/src/net/driver/open.rs
+++ b/src/net/driver/open.rs
@@ -107,7 +107,8 @@
     pub(super) was_sent: bool,
     pub(super) budgets: Option<Rc<RequestBudgets>>,
     pub(super) in_flight: Option<InFlightAttempt>,
-    /// Failure response of an endpoint that another attempt may improve on.
+    /// Failure response of an endpoint that another attempt may improve on. It answers for all ended
+    /// attempts; see [`OpenRequest::record_end`].
     pub(super) last_error_response: Option<EndpointResponse>,
 }
 
@@ -117,6 +118,26 @@
         single_header(&self.client_request.headers, "request-id").unwrap_or("-")
     }
 
+    /// Records how an attempt ended that was sent at `sent`, and which failure response answers for
+    /// all attempts so far, if one does:
+    ///
+    /// - No earlier response answers for an attempt that may have been executed.
+    /// - A response that promises no execution does not answer for an earlier attempt that may have
+    ///   been executed.
+    pub(super) fn record_end(
+        &mut self,
+        sent: Instant,
+        outcome: Outcome,
+        error_response: Option<EndpointResponse>,
+    ) {
+        if !outcome.was_not_executed() {
+            self.possibly_executed_since = self.possibly_executed_since.or(Some(sent));
+            self.last_error_response = error_response;
+        } else if self.possibly_executed_since.is_none() && error_response.is_some() {
+            self.last_error_response = error_response;
+        }
+    }
+
     /// Sends the final response, if none was sent yet. All final responses are sent here.
     pub(super) fn respond(&mut self, response: FinalResponse, why: &'static str) {
         let Some(sender) = self.response_sender.take() else {
@@ -137,11 +158,13 @@
         let _ = sender.send(response);
     }
 
-    /// Sends the last error response of an endpoint if there is one, else the given response.
+    /// Sends the last error response of an endpoint if one answers for all attempts, else the given
+    /// response. An attempt that is still in flight may be executed, so no earlier response answers
+    /// for it.
     pub(super) fn finish(&mut self, response: FinalResponse, why: &'static str) {
-        let response = self
-            .last_error_response
-            .take()
+        let last_error_response = self.last_error_response.take();
+        let response = last_error_response
+            .filter(|_| self.in_flight.is_none())
             .map_or(response, FinalResponse::LastErrorResponse);
         self.respond(response, why);
     }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -27,7 +27,7 @@
 /// Header with the time in milliseconds that the sender waits for the response.
 pub const REQUEST_TIMEOUT_HEADER: HeaderName = HeaderName::from_static("request-timeout-ms");
 /// Header by which an endpoint states that it has not started a request.
-pub const NOT_STARTED_HEADER: HeaderName = HeaderName::from_static("not-started");
+const NOT_STARTED_HEADER: HeaderName = HeaderName::from_static("not-started");
 /// Timeouts on the platform, where either side may pause for long within a message; a transfer is
 /// not cut off before.
 const PLATFORM_RESPONSE_TIMEOUTS: ResponseTimeouts = ResponseTimeouts {
@@ -111,6 +111,23 @@
             body,
         }
     }
+
+    /// Returns whether the endpoint states that it has not started the request.
+    pub fn is_not_started(&self) -> bool {
+        is_not_started(self.status, &self.headers)
+    }
+}
+
+/// Returns whether a response states that its endpoint has not started the request.
+pub fn is_not_started(status: StatusCode, headers: &HeaderMap) -> bool {
+    let is_rejection = matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+    );
+    let is_stated = headers
+        .get(NOT_STARTED_HEADER)
+        .is_some_and(|value| value == "1");
+    is_rejection && is_stated
 }
 
 /// The protocol that endpoints speak.
--- a/tests/installation/main.rs
+++ b/tests/installation/main.rs
@@ -8,6 +8,7 @@
 mod malformed;
 mod pools;
 mod reload;
+mod retries;
 mod reuse;
 mod shutdown;
 mod smuggling;
