Count a streamed request's time from when its client may have written it

On the platform an endpoint that read a large request slowly delayed the 502: 2.0 s (5 MB) and 3.2 s (20 MB) after the write, for a time of 1 s.

Cause: the time ran from when the proxy read the last byte, and it reads no faster than the endpoint takes the body.

Change: UploadProgress keeps since when no more can be missing than the system tells as unread and a client's send buffer holds; the time runs from there, also while the body is being read.

--- a/src/net/bodies.rs
+++ b/src/net/bodies.rs
@@ -2,6 +2,7 @@
 //! streamed.
 
 use super::client::RequestError;
+use super::io::TrackedSocket;
 use super::limits::{self, ResourceLimit, ResourceReservation};
 use super::stream::{BodyStart, StreamedRequestBody, UploadProgress};
 use super::upstream::RequestBody;
@@ -79,6 +80,7 @@
     pub async fn read_body(
         &self,
         bytes: &Rc<ResourceLimit>,
+        client: &Rc<TrackedSocket>,
         mut body: Incoming,
     ) -> Result<RequestBody, BodyError> {
         let exact = body.size_hint().exact();
@@ -92,7 +94,7 @@
                 Buffered::TooLarge(read) => start = read,
             }
         }
-        let upload = Rc::<UploadProgress>::default();
+        let upload = UploadProgress::new(client.clone());
         let streamed = StreamedRequestBody::new(
             start,
             body,
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -214,7 +214,7 @@
             min_bytes_per_s: 0,
         };
         match body_limits
-            .read_body(&self.context.limits.bytes, body)
+            .read_body(&self.context.limits.bytes, &connection.socket, body)
             .await
         {
             Ok(body) => {
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -222,6 +222,12 @@
         )
     }
 
+    /// Returns the number of bytes that the peer has sent and that are not read yet; 0 if the system
+    /// does not tell.
+    pub fn unread_bytes(&self) -> u64 {
+        rustix::io::ioctl_fionread(&self.stream).unwrap_or_default()
+    }
+
     /// Waits until there is something to read or the peer has disconnected.
     pub async fn readable(&self) {
         let _ = self.stream.readable().await;
--- a/src/net/platform/handler.rs
+++ b/src/net/platform/handler.rs
@@ -191,7 +191,10 @@
         let _id_guard = RequestIdGuard::new(&self.open_ids, id)
             .ok_or(RequestError::new(StatusCode::CONFLICT, "the id is in use"))?;
         connection.begin_body();
-        let body = match BODY_LIMITS.read_body(&self.limits.bytes, body).await {
+        let body = match BODY_LIMITS
+            .read_body(&self.limits.bytes, &connection.socket, body)
+            .await
+        {
             Ok(body) => body,
             Err(BodyError::InsufficientMemory) => return Ok(rejection(OVERLOAD_RETRY_AFTER_MS)),
             Err(error) => return Err(error.request_error()),
@@ -231,8 +234,8 @@
     matches!(body, RequestBody::Buffered(body) if body.bytes.is_empty())
 }
 
-/// Waits for the final response. The timeout of a request with a streamed body starts at the end of
-/// that body.
+/// Waits for the final response. The timeout of a request with a streamed body starts when its
+/// client may have written the end of that body.
 async fn await_final_response(
     guard: &RequestGuard,
     mut response: oneshot::Receiver<FinalResponse>,
@@ -247,6 +250,7 @@
         biased;
         early = &mut response => return early.unwrap_or(FinalResponse::Failed),
         ended_at = upload.ended() => ended_at + timeout,
+        () = upload.overdue(timeout) => Instant::now(),
         () = sleep_until(deadline.into()) => deadline,
     };
     guard.await_response(response, deadline).await
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,6 +1,7 @@
 //! Streamed bodies: of a request on its way to an endpoint, and of a response on its way to a
 //! client. Both buffer a bounded part and wait for the reader.
 
+use super::io::TrackedSocket;
 use super::limits::{self, ResourceReservation};
 use bytes::Bytes;
 use dewrun_forwarding::BodyLength;
@@ -40,26 +41,70 @@
     bytes.map_or(BodyLength::Unknown, BodyLength::Known)
 }
 
+/// The part of a body that a client's system buffers, so that the client may have written it although
+/// it has not arrived: the usual maximum of a send buffer.
+const MAX_SEND_BUFFER_BYTES: u64 = 4 << 20;
+/// Interval at which [`UploadProgress::overdue`] looks for the time from which to count.
+const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Progress of a streamed request body.
-#[derive(Default)]
 pub struct UploadProgress {
+    client: Rc<TrackedSocket>,
     interrupted: Cell<bool>,
+    /// Time since which the client may have written the last byte, which waits for a slow endpoint;
+    /// `None` while the client is known to be writing.
+    may_be_written_since: Cell<Option<std::time::Instant>>,
     ended: Cell<Option<std::time::Instant>>,
     ended_notify: Notify,
 }
 
 impl UploadProgress {
+    /// Creates the progress of an upload of which nothing has been streamed yet.
+    pub fn new(client: Rc<TrackedSocket>) -> Rc<UploadProgress> {
+        Rc::new(UploadProgress {
+            client,
+            interrupted: Cell::new(false),
+            may_be_written_since: Cell::new(None),
+            ended: Cell::new(None),
+            ended_notify: Notify::new(),
+        })
+    }
+
+    /// Records that `remaining` bytes are yet to be read, and whether the reader waits for them.
+    fn record_remaining(&self, remaining: u64, is_waiting: bool) {
+        let unread = self.client.unread_bytes();
+        let awaits_client = is_waiting && unread == 0;
+        if awaits_client || remaining > unread + MAX_SEND_BUFFER_BYTES {
+            self.may_be_written_since.set(None);
+        } else if self.may_be_written_since.get().is_none() {
+            self.may_be_written_since
+                .set(Some(std::time::Instant::now()));
+        }
+    }
+
+    /// Waits until the client may have waited for `timeout` since it wrote the last byte, although
+    /// that byte has not been read.
+    pub async fn overdue(&self, timeout: Duration) {
+        loop {
+            match self.may_be_written_since.get().map(|at| at + timeout) {
+                Some(until) if until <= std::time::Instant::now() => return,
+                _ => sleep(OVERDUE_CHECK_INTERVAL).await,
+            }
+        }
+    }
+
     /// Returns whether the client broke off the body.
     pub fn is_interrupted(&self) -> bool {
         self.interrupted.get()
     }
 
-    /// Returns the time at which the last byte arrived, if it has.
+    /// Returns the time at which the last byte was written or arrived, if it has arrived. A client's
+    /// time starts when it has written its last byte, which a slow endpoint may keep from being read.
     pub fn ended_at(&self) -> Option<std::time::Instant> {
         self.ended.get()
     }
 
-    /// Waits until the last byte has arrived.
+    /// Waits until the last byte has arrived, and returns the time like [`UploadProgress::ended_at`].
     pub async fn ended(&self) -> std::time::Instant {
         loop {
             if let Some(at) = self.ended.get() {
@@ -71,7 +116,9 @@
 
     fn end(&self) {
         if self.ended.get().is_none() {
-            self.ended.set(Some(std::time::Instant::now()));
+            let written_at = self.may_be_written_since.get();
+            self.ended
+                .set(Some(written_at.unwrap_or_else(std::time::Instant::now)));
             self.ended_notify.notify_waiters();
         }
     }
@@ -178,6 +225,9 @@
                     },
                 }
             } else {
+                if me.is_exact {
+                    me.upload.record_remaining(me.remaining, true);
+                }
                 ready!(me.timer.as_mut().poll(cx));
                 return me.interrupt();
             };
@@ -186,6 +236,9 @@
                 Some(remaining) => me.remaining = remaining,
                 None => return me.interrupt(),
             }
+            if me.is_exact {
+                me.upload.record_remaining(me.remaining, false);
+            }
             if me.is_exact && me.remaining == 0 {
                 me.upload.end();
             }
--- a/tests/proxy/service.rs
+++ b/tests/proxy/service.rs
@@ -390,6 +390,41 @@
     assert_eq!((response.status(), response.body.len()), (200, 6_000));
 }
 
+/// Guards against a final response that comes long after its time: an endpoint that reads slowly
+/// keeps the proxy from reading the end of a request, whose client has written it and waits.
+#[test]
+fn a_request_that_its_endpoint_reads_slowly_is_failed_in_time() {
+    const BODY_BYTES: usize = 5 << 20;
+    const TIMEOUT: Duration = Duration::from_millis(1_000);
+    // The time for which an answer after the timeout is still one in time.
+    const GRACE: Duration = Duration::from_millis(500);
+    let (listener, address) = listen();
+    socket2::SockRef::from(&listener)
+        .set_recv_buffer_size(64 << 10)
+        .expect("a small buffer");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut part = vec![0; 40 << 10];
+        // At most 800 KB a second.
+        while stream.read(&mut part).is_ok_and(|n| n > 0) {
+            thread::sleep(Duration::from_millis(50));
+        }
+    });
+    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", address, "ready")])));
+    let proxy = Proxy::start(DEWRUN, &config(discovery.address, &list(0, true, &[])));
+    let body = "x".repeat(BODY_BYTES);
+    let timeout_ms = TIMEOUT.as_millis() as u32;
+    let stream = send_request(
+        proxy.address,
+        &request_text("once", "w1", timeout_ms, &body),
+    );
+    let written_at = Instant::now();
+    let response = read_response(&stream).expect("a response");
+    assert_eq!(response.status(), 502);
+    let waited = written_at.elapsed();
+    assert!(waited < TIMEOUT + GRACE, "{waited:?} after the write");
+}
+
 #[test]
 fn a_truncated_response_is_visible_to_the_client_and_counts_as_aborted() {
     let endpoint = Backend::start(|_, stream| {
