Wait longer for a slow response where no retry would do better

On the platform a response of 50 kB in five parts, one a second, failed after 0.7 s of 20 s (502); a read was cut off again and again and ended with 503.

Cause: the pause after which a malformed response is given up held for every attempt, also where no retry can follow, and for the retry itself.

Change: the short pause holds for the first attempt of a request that may be retried, and for responses that are not relayed; other attempts allow 4 s.

Tests of service and hostile pass.

--- a/src/net/attempts/response.rs
+++ b/src/net/attempts/response.rs
@@ -3,7 +3,9 @@
 use super::exchange::Exchange;
 use super::message::outcome;
 use super::{Attempt, AttemptHooks};
-use crate::net::limits::{Body, ResourceReservation, MAX_BODY_BYTES, RESPONSE_IDLE_TIMEOUT};
+use crate::net::limits::{
+    Body, ResourceReservation, LAST_RESPONSE_IDLE_TIMEOUT, MAX_BODY_BYTES, RESPONSE_IDLE_TIMEOUT,
+};
 use crate::net::stream::{ResponseBody, StreamedResponseBody, TruncatedMessage};
 use crate::net::upstream::{AttemptOutcome, EndpointResponse, UpstreamProtocol};
 use bytes::{Bytes, BytesMut};
@@ -195,10 +197,12 @@
         verdict: &Verdict,
     ) -> BufferResult {
         let max = self.upstream.limits.max_buffered_body_bytes;
-        let pause = if self.is_http() {
-            self.upstream.response_timeouts.endpoint_idle
-        } else {
-            RESPONSE_IDLE_TIMEOUT
+        let pause = match self.upstream.protocol {
+            UpstreamProtocol::Http => self.upstream.response_timeouts.endpoint_idle,
+            UpstreamProtocol::Platform if !verdict.is_forwarded || self.times.may_be_retried => {
+                RESPONSE_IDLE_TIMEOUT
+            }
+            UpstreamProtocol::Platform => LAST_RESPONSE_IDLE_TIMEOUT,
         };
         let mut read = BytesMut::new();
         let collected = exchange.collect(body, max, pause, &mut read);
--- a/tests/proxy/service.rs
+++ b/tests/proxy/service.rs
@@ -390,6 +390,20 @@
     assert_eq!((response.status(), response.body.len()), (200, 6_000));
 }
 
+/// Guards against a response that is cut off while its endpoint still writes it. Where a retry may
+/// follow, it follows after a shorter pause, and waits as long.
+#[test]
+fn a_response_with_long_pauses_is_complete() {
+    let pause = Duration::from_millis(1_200);
+    let slow = endpoint_with_large_responses(30_000, 3, pause);
+    let (proxy, _discovery) = super::proxy_for(&[&slow]);
+    for (class, attempts) in [("once", 1), ("read", 3)] {
+        let response = proxy.call(&request_text(class, &format!("s{class}"), 15_000, ""));
+        assert_eq!((response.status(), response.body.len()), (200, 30_000));
+        assert_eq!(slow.request_count(), attempts, "{class}");
+    }
+}
+
 /// Guards against a final response that comes long after its time: an endpoint that reads slowly
 /// keeps the proxy from reading the end of a request, whose client has written it and waits.
 #[test]
