Hold a keyed retry back from a process that may be another one

Cause: whoever accepted a connection at the address of a listed endpoint was taken for that endpoint, also right after its connections had broken.

Change: Upstream keeps when a connection to an endpoint last broke or failed, until a list tells of the endpoint anew; Driver::check_permission holds back a retry that is scoped to a cell or zone if that was after the attempt that may have run. Another member of the cell may take it.

--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -110,7 +110,12 @@
                     .await
                 {
                     Ok(conn) => conn,
-                    Err(outcome) => return AttemptOutcome::ended_now(outcome),
+                    Err(outcome) => {
+                        if outcome == Outcome::ConnectFailed {
+                            self.record_broken(target.endpoint);
+                        }
+                        return AttemptOutcome::ended_now(outcome);
+                    }
                 },
             };
             let permitted_at = match (hooks.check_permission)().await {
@@ -329,6 +334,9 @@
             self.upstream
                 .close_idle_since(self.target.endpoint, self.started);
         }
+        if ended.is_ok() {
+            self.upstream.record_broken(self.target.endpoint);
+        }
         let socket = &exchange.conn.socket;
         let may_have_been_executed = match self.upstream.protocol {
             UpstreamProtocol::Platform => socket.is_request_written(),
--- a/src/net/attempts/response.rs
+++ b/src/net/attempts/response.rs
@@ -210,6 +210,7 @@
             Ok(Ok(true)) => BufferResult::Complete(Body::new(read.freeze(), memory)),
             Ok(Ok(false)) => BufferResult::TooLong(read.freeze(), memory),
             Ok(Err(TruncatedMessage)) => {
+                self.upstream.record_broken(self.target.endpoint);
                 BufferResult::Ended(Box::new(verdict.ended(verdict.outcome_if_truncated)))
             }
             Err(_) if verdict.is_forwarded => {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -270,9 +270,10 @@
             endpoints: changed_endpoints,
             stale,
         } = state.directory.apply(list);
-        stale
-            .into_iter()
-            .for_each(|endpoint| self.upstream.close_idle(endpoint));
+        for endpoint in stale {
+            self.upstream.close_idle(endpoint);
+            self.upstream.confirm_process(endpoint);
+        }
         if let Some(fleet) = &self.fleet {
             fleet.set_pool_members(&self.name, state.directory.names());
             let is_given = self.membership.get() == Membership::Provided;
--- a/src/net/driver/actions.rs
+++ b/src/net/driver/actions.rs
@@ -199,6 +199,9 @@
             write_by: open_request
                 .possibly_executed_since
                 .and_then(|at| open_request.retry_window.write_by(at)),
+            same_process_since: open_request
+                .possibly_executed_since
+                .and_then(|at| open_request.retry_window.same_process_since(at)),
             may_wait_for_reuse,
             may_be_retried,
         };
@@ -296,6 +299,13 @@
         if !needs_response || self.has_client_disconnected(request) || times.is_late_to_write() {
             return Err(Outcome::NotSent);
         }
+        let may_be_replaced = times
+            .same_process_since
+            .is_some_and(|since| self.upstream.may_be_replaced_since(endpoint, since));
+        if may_be_replaced {
+            // Another endpoint that drops the repeat may take it.
+            return Err(Outcome::NoCapacity);
+        }
         // The endpoint may have started draining while the connection was being established; it
         // must not get new requests then.
         if self.is_ready(endpoint, record) {
--- a/src/net/driver/open.rs
+++ b/src/net/driver/open.rs
@@ -60,8 +60,8 @@
     /// Retries are always safe.
     Unlimited,
     /// Retries are safe for this duration after the first attempt that may have been executed was
-    /// sent.
-    Within(Duration),
+    /// sent, at the endpoints in the scope.
+    Within(Duration, DeduplicationScope),
     /// Retries are never safe.
     Never,
 }
@@ -70,7 +70,9 @@
     pub(super) fn of(class: &Class) -> RetryWindow {
         match class.effect {
             EffectClass::Idempotent => RetryWindow::Unlimited,
-            EffectClass::Keyed => RetryWindow::Within(bounded_duration(class.window_ms)),
+            EffectClass::Keyed => {
+                RetryWindow::Within(bounded_duration(class.window_ms), class.scope)
+            }
             EffectClass::NonIdempotent => RetryWindow::Never,
         }
     }
@@ -79,10 +81,24 @@
     pub(super) fn write_by(self, possibly_executed_since: Instant) -> Option<Instant> {
         match self {
             RetryWindow::Unlimited => None,
-            RetryWindow::Within(window) => Some(possibly_executed_since + window),
+            RetryWindow::Within(window, _) => Some(possibly_executed_since + window),
             RetryWindow::Never => Some(possibly_executed_since),
         }
     }
+
+    /// Returns the time since which the endpoint of the next attempt must have been the same
+    /// process: where only some endpoints drop a repeat, the process that has come up at the address
+    /// of one of them may not be one of them.
+    pub(super) fn same_process_since(self, possibly_executed_since: Instant) -> Option<Instant> {
+        match self {
+            RetryWindow::Within(_, DeduplicationScope::Zone | DeduplicationScope::Cell) => {
+                Some(possibly_executed_since)
+            }
+            RetryWindow::Within(_, DeduplicationScope::All)
+            | RetryWindow::Unlimited
+            | RetryWindow::Never => None,
+        }
+    }
 }
 
 pub(super) struct InFlightAttempt {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -162,6 +162,9 @@
     /// Time by which the last byte of the request has to be written, if an earlier attempt may have
     /// been executed: later retries would not be deduplicated.
     pub write_by: Option<Instant>,
+    /// Time since which the endpoint must have been the same process, if an earlier attempt may have
+    /// been executed and only some endpoints would drop the repeat.
+    pub same_process_since: Option<Instant>,
     /// Whether the attempt may wait until a connection can be reused although another could be
     /// opened. Its endpoint may be removed from the list meanwhile, which ends the attempt, so a
     /// further attempt must be left.
@@ -245,6 +248,9 @@
     report_fields: Vec<ReportField>,
     pub(super) written_attempts: Counter,
     unsolicited: UnsolicitedBytes,
+    /// When a connection to each endpoint last broke or failed, until the list tells of its endpoint
+    /// again; another process may have taken its address since.
+    broken_at: RefCell<FxHashMap<EndpointId, Instant>>,
     /// Endpoints for which a request waits until a connection may be reused.
     awaited_endpoints: RefCell<FxHashSet<EndpointId>>,
 }
@@ -269,6 +275,7 @@
             report_fields,
             written_attempts: Counter::default(),
             unsolicited: UnsolicitedBytes::default(),
+            broken_at: RefCell::default(),
             awaited_endpoints: RefCell::default(),
         }
     }
@@ -291,6 +298,22 @@
         }
     }
 
+    /// Records that a connection to an endpoint broke or failed, which may be the end of its process.
+    pub(super) fn record_broken(&self, endpoint: EndpointId) {
+        self.broken_at.borrow_mut().insert(endpoint, Instant::now());
+    }
+
+    /// Records that the list tells of an endpoint: the process at its address is the listed one.
+    pub(super) fn confirm_process(&self, endpoint: EndpointId) {
+        self.broken_at.borrow_mut().remove(&endpoint);
+    }
+
+    /// Returns whether the process at an endpoint's address may be another one than at a time.
+    pub(super) fn may_be_replaced_since(&self, endpoint: EndpointId, time: Instant) -> bool {
+        let broken_at = self.broken_at.borrow().get(&endpoint).copied();
+        broken_at.is_some_and(|broken_at| broken_at >= time)
+    }
+
     /// Opens a connection. A lack of local sockets is reported as [`Outcome::NotSent`], since it
     /// says nothing about the endpoint.
     pub(super) async fn connect(
--- a/tests/installation/main.rs
+++ b/tests/installation/main.rs
@@ -8,6 +8,7 @@
 mod malformed;
 mod pools;
 mod reload;
+mod replaced;
 mod retries;
 mod reuse;
 mod shutdown;
