Reject an id that comes again after its client left, also at a successor

On the platform a request of a class that must not run twice ran again when its id came again on another connection after its client had left, and at the other process of an upgrade.

Cause: an id was known for as long as its request was in progress, at one process; that a cancelled attempt may have run was remembered nowhere.

--- a/src/net/platform/handler.rs
+++ b/src/net/platform/handler.rs
@@ -1,6 +1,7 @@
 //! Handling of requests in the platform's format: `/up`, and forwarded requests.
 
 use super::head::{ValidHead, REQUEST_ID};
+use super::request_ids::RequestIds;
 use crate::net::bodies::{BodyError, BodyLimits};
 use crate::net::client::{
     plain_response, rejection, ClientConnection, ClientResponse, DrainState, RequestError,
@@ -13,15 +14,14 @@
 use crate::net::stream::{written_length, ClientResponseBody, ResponseBody, UploadProgress};
 use crate::net::upstream::{ClientRequest, EndpointResponse, RequestBody, Upstream};
 use dewrun_admin::{Disposition, EndpointCounts, Metrics, RequestMetric};
-use dewrun_balancer::{Class, Settings, Tenant};
+use dewrun_balancer::{Class, EffectClass, Settings, Tenant};
 use dewrun_forwarding::{set_length_headers, RelayedMessage};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::CONTENT_TYPE;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
-use rustc_hash::FxHashSet;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -59,8 +59,7 @@
     upstream: Rc<Upstream>,
     pub(super) classes: Vec<Class>,
     pub(super) tenants: Vec<Tenant>,
-    /// The ids of the requests in progress.
-    open_ids: Rc<RefCell<FxHashSet<String>>>,
+    request_ids: Rc<RequestIds>,
     limits: Rc<Limits>,
     started: Instant,
     has_known_endpoints: bool,
@@ -118,7 +117,7 @@
             upstream,
             classes: settings.classes.clone(),
             tenants: settings.tenants.clone(),
-            open_ids: Rc::default(),
+            request_ids: Rc::default(),
             limits,
             started: Instant::now(),
             has_known_endpoints,
@@ -127,6 +126,11 @@
         })
     }
 
+    /// Returns the ids of the requests of this process.
+    pub fn request_ids(&self) -> Rc<RequestIds> {
+        self.request_ids.clone()
+    }
+
     /// Returns the maximum duration of a graceful shutdown.
     pub fn shutdown_timeout(&self) -> Duration {
         let longest = self
@@ -188,8 +192,7 @@
             return Err(GET_WITH_BODY);
         }
         let id = single_header(&head.headers, REQUEST_ID).unwrap_or_default();
-        let _id_guard = RequestIdGuard::new(&self.open_ids, id)
-            .ok_or(RequestError::new(StatusCode::CONFLICT, "the id is in use"))?;
+        let mut id_guard = self.request_ids.begin(id)?;
         connection.begin_body();
         let body = match BODY_LIMITS
             .read_body(&self.limits.bytes, &connection.socket, body)
@@ -204,6 +207,8 @@
         }
         connection.begin_request();
         let mut request_metric = self.metrics.start_request(attributes.class);
+        let effect = self.classes[usize::from(attributes.class)].effect;
+        let must_not_run_twice = effect != EffectClass::Idempotent;
         let upload = body.upload();
         // The timeout starts at the request's last byte, which was the last byte read, or is yet to
         // arrive on a streamed upload.
@@ -223,8 +228,12 @@
             request_metric.set_disposition(Disposition::Declined);
             return Ok(rejection(OVERLOAD_RETRY_AFTER_MS));
         };
+        if must_not_run_twice {
+            id_guard.forwarded();
+        }
         let response =
             await_final_response(&guard, response, upload.as_deref(), deadline, timeout).await;
+        id_guard.answered();
         let is_upload_interrupted = upload.is_some_and(|upload| upload.is_interrupted());
         final_response(connection, request_metric, response, is_upload_interrupted)
     }
@@ -331,25 +340,3 @@
         }
     }
 }
-
-/// Reserves the id of a request in progress, which no second request may have.
-struct RequestIdGuard {
-    ids: Rc<RefCell<FxHashSet<String>>>,
-    id: String,
-}
-
-impl RequestIdGuard {
-    fn new(ids: &Rc<RefCell<FxHashSet<String>>>, id: &str) -> Option<RequestIdGuard> {
-        let is_new = ids.borrow_mut().insert(id.to_string());
-        is_new.then(|| RequestIdGuard {
-            ids: ids.clone(),
-            id: id.to_string(),
-        })
-    }
-}
-
-impl Drop for RequestIdGuard {
-    fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
-    }
-}
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -8,6 +8,7 @@
 pub mod handover;
 mod head;
 pub mod listener;
+pub mod request_ids;
 
 use self::config::Config;
 use self::control::AdminServer;
@@ -57,16 +58,11 @@
     let driver = start_driver(config, &limits, &upstream);
     let directory = std::env::temp_dir();
     let (supervisor, mut task_ends) = supervisor();
-    if is_inherited {
-        let serves = served_names(listen, &settings);
-        let notes = Rc::new(NoteExchange::start(&directory, serves, driver.clone()));
-        supervisor.keep_running("handover notes", move || notes.clone().run());
-    }
     let reloading = reload_on_signal(signals.reload, env, driver.clone(), metrics.clone());
     supervisor.spawn("reload", reloading);
     let drain = Rc::new(DrainState::default());
     let handler = PlatformHandler::new(
-        driver,
+        driver.clone(),
         upstream,
         limits.clone(),
         &settings,
@@ -74,6 +70,12 @@
         drain.clone(),
         metrics,
     );
+    if is_inherited {
+        let serves = served_names(listen, &settings);
+        let notes = NoteExchange::start(&directory, serves, driver, handler.request_ids());
+        let notes = Rc::new(notes);
+        supervisor.keep_running("handover notes", move || notes.clone().run());
+    }
     let shutdown_timeout = handler.shutdown_timeout();
     if let Some(admin) = listeners.admin {
         serve_admin(admin, &handler, &drain, &supervisor);
