Forget broken connections once no retry can follow their requests

Found in the read-through, by reading: an attempt whose connection broke after its endpoint had left the list entered that endpoint into Upstream::broken_at again, and nothing took it out. With endpoints that are ever replaced the map grew without end, by some 30 bytes each.

Change: entries go after an hour, the maximum of any deduplication window, when expired idle connections are closed. No decision changes: a retry's window begins later than such an entry. MAX_DURATION names that hour once.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -40,7 +40,8 @@
 
 /// Maximum duration that is accepted for a timeout or a timer; it keeps arithmetic on instants in
 /// range.
-const MAX_DURATION_MS: Millis = 3.6e6;
+pub(super) const MAX_DURATION: Duration = Duration::from_secs(3_600);
+const MAX_DURATION_MS: Millis = MAX_DURATION.as_millis() as Millis;
 
 /// Interval at which the log summarizes rejected and failed requests.
 const UNSERVED_SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -4,6 +4,7 @@
 mod idle;
 
 use super::connect::{self, ConnectError};
+use super::driver::MAX_DURATION;
 use super::io::is_out_of_descriptors;
 use super::limits::{Body, Limits};
 use super::stream::{ResponseBody, StreamedRequestBody, UploadProgress};
@@ -34,6 +35,8 @@
     endpoint_idle: Duration::from_secs(8),
     client_idle: Duration::from_secs(10),
 };
+/// How long a broken connection is remembered: no retry follows its request's first attempt later.
+const BROKEN_CONNECTION_TTL: Duration = MAX_DURATION;
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
 
 /// A client's request as it is sent to an endpoint.
@@ -308,6 +311,13 @@
         self.broken_at.borrow_mut().remove(&endpoint);
     }
 
+    /// Forgets the connections that broke long ago, also of endpoints that have left the list since.
+    pub(super) fn expire_broken(&self, now: Instant) {
+        self.broken_at.borrow_mut().retain(|_, broken_at| {
+            now.saturating_duration_since(*broken_at) < BROKEN_CONNECTION_TTL
+        });
+    }
+
     /// Returns whether the process at an endpoint's address may be another one than at a time.
     pub(super) fn may_be_replaced_since(&self, endpoint: EndpointId, time: Instant) -> bool {
         let broken_at = self.broken_at.borrow().get(&endpoint).copied();
@@ -387,3 +397,6 @@
         _ => ReportField::Unknown,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/upstream/idle.rs
+++ b/src/net/upstream/idle.rs
@@ -115,6 +115,7 @@
     pub fn close_expired_idle(&self) {
         let now = Instant::now();
         self.unsolicited.expire(now);
+        self.expire_broken(now);
         let mut unsolicited = Vec::new();
         self.idle.borrow_mut().retain(|endpoint, list| {
             list.retain(|idle| {
