Free a member's address in its test although another test starts a program

Cause: tests of one binary run at once. A program that another test starts has copies of all descriptors until it runs, so closing the listener did not end it.

Change: the stand-in ends the listening by a shutdown, which holds for all copies.

--- a/tests/installation/replaced.rs
+++ b/tests/installation/replaced.rs
@@ -1,7 +1,8 @@
 //! A new process at the address of a member that has gone.
 
 use super::*;
-use std::net::TcpListener;
+use socket2::SockRef;
+use std::net::{Shutdown, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -16,7 +17,7 @@
         let (first, _) = listener.accept().expect("a connection");
         let begun = Message::read(&mut BufReader::new(&first));
         assert!(begun.is_some(), "the first process begins the request");
-        drop(listener);
+        stop_listening(listener);
         let successor = TcpListener::bind(address).expect("the address is free");
         drop(first);
         for stream in successor.incoming() {
@@ -29,6 +30,14 @@
     (address, requests)
 }
 
+/// Frees the address of a listener. Closing it is not enough: a program that another test starts has a
+/// copy of its descriptor until it runs.
+fn stop_listening(listener: TcpListener) {
+    SockRef::from(&listener)
+        .shutdown(Shutdown::Both)
+        .expect("it stops listening");
+}
+
 /// Guards against an order that runs twice: the process that had begun it ended, and its retry went
 /// to the process that had come up at its address, which may not know its key.
 #[test]
