--- a/crates/test-support/src/daemon.rs
+++ b/crates/test-support/src/daemon.rs
@@ -1,6 +1,6 @@
 //! A program that is started as an operator starts it, with arguments, and whose log is recorded.
 
-use crate::{listen, until};
+use crate::{listen, stop_listening, until};
 use rustix::param::clock_ticks_per_second;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -14,7 +14,9 @@
 
 /// Returns a loopback TCP address that was free at the time of the call.
 pub fn free_address() -> SocketAddr {
-    listen().1
+    let (listener, address) = listen();
+    stop_listening(listener);
+    address
 }
 
 /// Returns distinct addresses that were free for TCP and UDP at the time of the call. Their ports
--- a/crates/test-support/src/endpoint.rs
+++ b/crates/test-support/src/endpoint.rs
@@ -1,8 +1,9 @@
 //! Endpoints whose responses are scripted.
 
 use crate::Message;
+use socket2::SockRef;
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -22,6 +23,14 @@
     (listener, address)
 }
 
+/// Frees the address of a listener. Closing it is not enough: a program that another test starts has a
+/// copy of its descriptor until it runs.
+pub fn stop_listening(listener: TcpListener) {
+    SockRef::from(&listener)
+        .shutdown(Shutdown::Both)
+        .expect("it stops listening");
+}
+
 /// An endpoint that answers its requests with a script; a connection ends when the script returns
 /// false.
 pub struct Backend {
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -37,7 +37,7 @@
 pub use client::{read_response, request_text, send_request, try_call};
 pub use daemon::{free_address, free_addresses, resident_kib_of, Daemon, Folder, Process};
 pub use discovery::{entry, list, Discovery};
-pub use endpoint::{listen, ok, Backend};
+pub use endpoint::{listen, ok, stop_listening, Backend};
 pub use faults::{ArrivalRecorder, Fault, FullListener};
 pub use golden::{assert_golden, hex, unhex};
 pub use large::{quick, Large};
--- a/crates/test-support/src/proxy.rs
+++ b/crates/test-support/src/proxy.rs
@@ -1,6 +1,6 @@
 //! The proxy as the platform runs it: a process with a configuration file.
 
-use crate::{listen, try_call, Message, Process, WAIT_TIMEOUT};
+use crate::{free_address, try_call, Message, Process, WAIT_TIMEOUT};
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
@@ -49,8 +49,7 @@
     pub fn start_by(program: &str, line: &str, config: &str) -> Proxy {
         // Another process may bind the port after it was found free; another port is tried then.
         for _ in 0..10 {
-            let (listener, address) = listen();
-            drop(listener);
+            let address = free_address();
             let (command, config) = spawn(program, line, config, address);
             let mut proxy = Proxy {
                 address,
--- a/tests/installation/replaced.rs
+++ b/tests/installation/replaced.rs
@@ -1,8 +1,7 @@
 //! A new process at the address of a member that has gone.
 
 use super::*;
-use socket2::SockRef;
-use std::net::{Shutdown, TcpListener};
+use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -30,14 +29,6 @@
     (address, requests)
 }
 
-/// Frees the address of a listener. Closing it is not enough: a program that another test starts has a
-/// copy of its descriptor until it runs.
-fn stop_listening(listener: TcpListener) {
-    SockRef::from(&listener)
-        .shutdown(Shutdown::Both)
-        .expect("it stops listening");
-}
-
 /// Guards against an order that runs twice: the process that had begun it ended, and its retry went
 /// to the process that had come up at its address, which may not know its key.
 #[test]
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -89,8 +89,7 @@
 
 #[test]
 fn a_request_that_was_never_executed_is_retried_on_another_endpoint() {
-    let (listener, dead) = listen();
-    drop(listener);
+    let dead = free_address();
     let rejecting =
         Backend::with_response("HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
     let good = Backend::with_response(OK);
