Claim an id before its request is forwarded, among the processes of an upgrade

On the platform an id that came again at the other process of an upgrade ran a second time if that was within 0.2 s after its client had left, or while its request was in progress; so did one whose client left within a streamed response.

Cause: the handover notes told abandoned ids alone, every 100 ms; and an id was free again when its response began.

Change: a process that has a handed-down listener claims the id of a request that must not run twice before it forwards it: a file in the directory that the processes share, whose creation succeeds once. The claim lasts as long as the id is kept; those of killed processes expire after 10 min. An id is answered once its response is complete, or is written to a client that has not left.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -8,7 +8,6 @@
 //! - [`siblings`]: the attempts that other live processes have in flight count against the endpoint
 //!   capacity that each process has learned. Otherwise two processes that each use all of it would
 //!   overload the endpoints.
-//!   The ids of requests that may have run for clients that left are not served again by another.
 //! - [`predecessor`]: a starting process restores the learned state of the process that it
 //!   replaces, instead of starting without any.
 //!
@@ -74,9 +73,6 @@
     /// The writer's learned state as a snapshot of the balancer; empty if there is none.
     #[serde(rename = "learned")]
     pub learned_state: String,
-    /// Hashes of the ids of requests that may have run at the writer for clients that left.
-    #[serde(rename = "abandoned", default, skip_serializing_if = "Vec::is_empty")]
-    pub abandoned_ids: Vec<u64>,
 }
 
 /// The reason why a text is rejected as a note. Readers skip the file and continue with the others.
@@ -125,8 +121,6 @@
     pub count: usize,
     /// The sum of their attempts in flight, as in [`Note::in_flight`].
     pub in_flight: Vec<f64>,
-    /// The abandoned ids of all of them, as in [`Note::abandoned_ids`].
-    pub abandoned_ids: Vec<u64>,
 }
 
 impl Note {
@@ -145,15 +139,6 @@
             serves: serves.to_string(),
             in_flight,
             learned_state,
-            abandoned_ids: Vec::new(),
-        }
-    }
-
-    /// Adds the ids of requests that may have run for clients that left.
-    pub fn with_abandoned_ids(self, abandoned_ids: Vec<u64>) -> Note {
-        Note {
-            abandoned_ids,
-            ..self
         }
     }
 
@@ -205,14 +190,12 @@
     let mut siblings = Siblings {
         count: 0,
         in_flight: vec![0.0; limit_count],
-        abandoned_ids: Vec::new(),
     };
     let live = notes.iter().filter(|note| {
         note.is_current_for(reader, SIBLING_NOTE_TTL_MS) && note.in_flight.len() == limit_count
     });
     for note in live {
         siblings.count += 1;
-        siblings.abandoned_ids.extend(&note.abandoned_ids);
         for (sum, attempts) in siblings.in_flight.iter_mut().zip(&note.in_flight) {
             *sum += attempts;
         }
--- a/src/net/platform/handler.rs
+++ b/src/net/platform/handler.rs
@@ -1,7 +1,7 @@
 //! Handling of requests in the platform's format: `/up`, and forwarded requests.
 
 use super::head::{ValidHead, REQUEST_ID};
-use super::request_ids::RequestIds;
+use super::request_ids::{RequestIdGuard, RequestIds};
 use crate::net::bodies::{BodyError, BodyLimits};
 use crate::net::client::{
     plain_response, rejection, ClientConnection, ClientResponse, DrainState, RequestError,
@@ -205,10 +205,11 @@
         if head.method == Method::GET && !is_empty(&body) {
             return Err(GET_WITH_BODY);
         }
+        if self.classes[usize::from(attributes.class)].effect != EffectClass::Idempotent {
+            id_guard.claim()?;
+        }
         connection.begin_request();
         let mut request_metric = self.metrics.start_request(attributes.class);
-        let effect = self.classes[usize::from(attributes.class)].effect;
-        let must_not_run_twice = effect != EffectClass::Idempotent;
         let upload = body.upload();
         // The timeout starts at the request's last byte, which was the last byte read, or is yet to
         // arrive on a streamed upload.
@@ -226,16 +227,24 @@
         };
         let Some((guard, response)) = self.driver.request(attributes, client_request) else {
             request_metric.set_disposition(Disposition::Declined);
+            id_guard.answered();
             return Ok(rejection(OVERLOAD_RETRY_AFTER_MS));
         };
-        if must_not_run_twice {
-            id_guard.forwarded();
-        }
         let response =
             await_final_response(&guard, response, upload.as_deref(), deadline, timeout).await;
-        id_guard.answered();
         let is_upload_interrupted = upload.is_some_and(|upload| upload.is_interrupted());
-        final_response(connection, request_metric, response, is_upload_interrupted)
+        let served = match response {
+            FinalResponse::Served(served) => served,
+            unserved => {
+                id_guard.answered();
+                return unserved_response(request_metric, &unserved, is_upload_interrupted);
+            }
+        };
+        let ongoing = OngoingResponse {
+            request_metric,
+            id_guard,
+        };
+        Ok(served_response(connection, ongoing, served))
     }
 }
 
@@ -265,40 +274,52 @@
     guard.await_response(response, deadline).await
 }
 
-/// Returns the client's response to a request that was forwarded.
-fn final_response(
-    connection: &ClientConnection,
+/// Returns the client's response to a request that was not served.
+fn unserved_response(
     mut request_metric: RequestMetric,
-    response: FinalResponse,
+    response: &FinalResponse,
     is_upload_interrupted: bool,
 ) -> Result<ClientResponse, RequestError> {
     match response {
-        FinalResponse::Served(response) => {
-            Ok(served_response(connection, request_metric, response))
-        }
         FinalResponse::Rejected(after_ms) => {
             request_metric.set_disposition(Disposition::Declined);
-            Ok(rejection(after_ms))
+            Ok(rejection(*after_ms))
         }
         _ if is_upload_interrupted => Err(BodyError::Interrupted.request_error()),
         FinalResponse::FaultyRequest(status) => {
-            Err(RequestError::new(status, "a backend found fault with it"))
-        }
-        FinalResponse::Failed | FinalResponse::LastErrorResponse(_) => {
-            Ok(plain_response(StatusCode::BAD_GATEWAY, "failed"))
+            Err(RequestError::new(*status, "a backend found fault with it"))
         }
+        _ => Ok(plain_response(StatusCode::BAD_GATEWAY, "failed")),
+    }
+}
+
+/// What is open of a request until its client has the complete response.
+struct OngoingResponse {
+    request_metric: RequestMetric,
+    id_guard: RequestIdGuard,
+}
+
+impl OngoingResponse {
+    fn complete(&mut self) {
+        self.request_metric.set_disposition(Disposition::Succeeded);
+        self.id_guard.answered();
     }
 }
 
 /// Returns an endpoint's response as it is relayed to the client.
 fn served_response(
     connection: &ClientConnection,
-    mut request_metric: RequestMetric,
+    mut ongoing: OngoingResponse,
     endpoint_response: EndpointResponse,
 ) -> ClientResponse {
     let body = match endpoint_response.body {
         ResponseBody::Buffered(body) => {
-            request_metric.set_disposition(Disposition::Succeeded);
+            ongoing
+                .request_metric
+                .set_disposition(Disposition::Succeeded);
+            if !connection.socket.is_closed_by_peer() {
+                ongoing.id_guard.answered();
+            }
             let bytes = Full::new(body.bytes.clone());
             connection.hold_response_memory(body);
             ClientResponseBody::from(bytes)
@@ -306,7 +327,7 @@
         ResponseBody::Streamed(body_stream) => {
             let guard = StreamedResponseGuard {
                 is_complete: body_stream.completion_flag(),
-                request_metric,
+                ongoing,
             };
             ClientResponseBody::Streamed(body_stream, Box::new(guard))
         }
@@ -330,13 +351,13 @@
 /// to the client's connection.
 struct StreamedResponseGuard {
     is_complete: Rc<Cell<bool>>,
-    request_metric: RequestMetric,
+    ongoing: OngoingResponse,
 }
 
 impl Drop for StreamedResponseGuard {
     fn drop(&mut self) {
         if self.is_complete.get() {
-            self.request_metric.set_disposition(Disposition::Succeeded);
+            self.ongoing.complete();
         }
     }
 }
--- a/src/net/platform/handover.rs
+++ b/src/net/platform/handover.rs
@@ -1,7 +1,6 @@
 //! Handover notes between the processes that serve as this proxy: the file I/O around
 //! `dewrun-handover`, in a directory that the processes share.
 
-use super::request_ids::RequestIds;
 use crate::net::driver::Driver;
 use dewrun_handover::{predecessor, siblings, Note, Reader};
 use std::fs::DirEntry;
@@ -23,7 +22,6 @@
     directory: PathBuf,
     serves: String,
     driver: Rc<Driver>,
-    request_ids: Rc<RequestIds>,
 }
 
 fn unix_now_ms() -> f64 {
@@ -37,17 +35,11 @@
 impl NoteExchange {
     /// Creates the exchange, and restores the learned state of a predecessor if it left a note.
     /// `serves` names the listener, classes and tenants of this proxy.
-    pub fn start(
-        directory: &Path,
-        serves: String,
-        driver: Rc<Driver>,
-        request_ids: Rc<RequestIds>,
-    ) -> NoteExchange {
+    pub fn start(directory: &Path, serves: String, driver: Rc<Driver>) -> NoteExchange {
         let notes = NoteExchange {
             directory: directory.to_path_buf(),
             serves,
             driver,
-            request_ids,
         };
         notes.restore_learned_state();
         notes
@@ -83,8 +75,6 @@
             let found = siblings(&self.read_all(), &self.reader(), in_flight.len());
             self.driver
                 .set_overlapping_processes(found.count, &found.in_flight);
-            self.request_ids
-                .record_abandoned_elsewhere(&found.abandoned_ids);
             if std::mem::replace(&mut sibling_count, found.count) != found.count {
                 info!(
                     processes = found.count,
@@ -138,8 +128,7 @@
             &self.serves,
             in_flight,
             self.driver.learned(),
-        )
-        .with_abandoned_ids(self.request_ids.abandoned());
+        );
         let new_file = self.directory.join(format!(".{}", own_file_name()));
         std::fs::write(&new_file, note.to_json())?;
         std::fs::rename(&new_file, self.directory.join(own_file_name()))
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -7,6 +7,7 @@
 pub mod handler;
 pub mod handover;
 mod head;
+pub mod id_claims;
 pub mod listener;
 pub mod request_ids;
 
@@ -15,6 +16,7 @@
 use self::error::PlatformError;
 use self::handler::PlatformHandler;
 use self::handover::NoteExchange;
+use self::id_claims::IdClaims;
 use super::client::{ClientServer, ClientTimeouts, DrainState};
 use super::driver::{Driver, DriverOptions, Membership};
 use super::limits::{Limits, CLIENT_IDLE_TIMEOUT, MAX_BUFFERED_BODY_BYTES, REQUEST_HEAD_TIMEOUT};
@@ -72,9 +74,9 @@
     );
     if is_inherited {
         let serves = served_names(listen, &settings);
-        let notes = NoteExchange::start(&directory, serves, driver, handler.request_ids());
-        let notes = Rc::new(notes);
+        let notes = Rc::new(NoteExchange::start(&directory, serves, driver));
         supervisor.keep_running("handover notes", move || notes.clone().run());
+        share_request_ids(IdClaims::open(&directory, listen), &handler, &supervisor);
     }
     let shutdown_timeout = handler.shutdown_timeout();
     if let Some(admin) = listeners.admin {
@@ -107,6 +109,13 @@
     stopped
 }
 
+/// Makes the ids of requests in progress known to the other processes that serve at one address.
+fn share_request_ids(claims: IdClaims, handler: &PlatformHandler, supervisor: &Supervisor) {
+    let claims = Rc::new(claims);
+    handler.request_ids().share(claims.clone());
+    supervisor.keep_running("request ids", move || claims.clone().expire());
+}
+
 fn start_log(env: Environment) {
     dewrun_logging::start(dewrun_logging::LogOptions {
         format: dewrun_logging::Format::Logfmt,
--- a/src/net/platform/request_ids.rs
+++ b/src/net/platform/request_ids.rs
@@ -1,11 +1,12 @@
 //! The ids of requests that must not be served a second time: those in progress, and those whose
 //! client left while they may have run.
 
+use super::id_claims::IdClaims;
 use crate::net::client::RequestError;
 use crate::net::discovery::stable_hash;
 use hyper::StatusCode;
-use rustc_hash::{FxHashMap, FxHashSet};
-use std::cell::RefCell;
+use rustc_hash::FxHashSet;
+use std::cell::{OnceCell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -27,29 +28,58 @@
     at: Instant,
 }
 
-/// The ids of the requests of one process, with what it knows of other processes that serve as the
-/// same proxy.
+/// Abandoned ids, the oldest first.
+#[derive(Default)]
+struct AbandonedIds {
+    by_age: VecDeque<AbandonedId>,
+    hashes: FxHashSet<u64>,
+}
+
+impl AbandonedIds {
+    fn push(&mut self, hash: u64) {
+        let at = Instant::now();
+        self.by_age.push_back(AbandonedId { hash, at });
+        self.hashes.insert(hash);
+    }
+
+    /// Removes and returns the oldest id if it has expired or there are too many.
+    fn pop_excess(&mut self) -> Option<u64> {
+        let oldest = self.by_age.front()?;
+        let is_excess = oldest.at.elapsed() >= ABANDONED_ID_TTL;
+        if !is_excess && self.by_age.len() <= MAX_ABANDONED_IDS {
+            return None;
+        }
+        let hash = self.by_age.pop_front()?.hash;
+        self.hashes.remove(&hash);
+        Some(hash)
+    }
+}
+
+/// The ids of the requests of one process.
 #[derive(Default)]
 pub struct RequestIds {
     open: RefCell<FxHashSet<String>>,
-    /// The abandoned ids of this process, the oldest first.
-    abandoned: RefCell<VecDeque<AbandonedId>>,
-    /// The abandoned ids of other processes, with the time at which each was last heard of.
-    abandoned_elsewhere: RefCell<FxHashMap<u64, Instant>>,
+    abandoned: RefCell<AbandonedIds>,
+    claims: OnceCell<Rc<IdClaims>>,
 }
 
 impl RequestIds {
+    /// Makes the ids known to the other processes that serve as the same proxy.
+    pub fn share(&self, claims: Rc<IdClaims>) {
+        // A process serves at one address, so there is one set of claims.
+        let _ = self.claims.set(claims);
+    }
+
     /// Reserves the id of a request for as long as the result exists.
     ///
     /// # Errors
     ///
-    /// Fails if a request with the id is in progress, or may have run for a client that left.
+    /// Fails if a request with the id is in progress at this process, or may have run for a client
+    /// that left.
     pub(super) fn begin(self: &Rc<Self>, id: &str) -> Result<RequestIdGuard, RequestError> {
-        self.expire();
+        self.remove_excess();
         let hash = stable_hash(id.as_bytes());
-        let is_abandoned = self.abandoned.borrow().iter().any(|id| id.hash == hash)
-            || self.abandoned_elsewhere.borrow().contains_key(&hash);
-        if is_abandoned {
+        if self.abandoned.borrow().hashes.contains(&hash) {
             return Err(ABANDONED);
         }
         if !self.open.borrow_mut().insert(id.to_string()) {
@@ -58,73 +88,84 @@
         Ok(RequestIdGuard {
             ids: self.clone(),
             id: id.to_string(),
-            may_run: false,
+            hash,
+            state: IdState::Unclaimed,
         })
     }
 
-    /// Returns the hashes of the abandoned ids of this process, for other processes.
-    pub fn abandoned(&self) -> Vec<u64> {
-        self.expire();
-        self.abandoned.borrow().iter().map(|id| id.hash).collect()
+    fn claim(&self, hash: u64) -> bool {
+        self.claims.get().is_none_or(|claims| claims.claim(hash))
     }
 
-    /// Records the hashes of the abandoned ids of other processes.
-    pub fn record_abandoned_elsewhere(&self, hashes: &[u64]) {
-        let now = Instant::now();
-        let mut known = self.abandoned_elsewhere.borrow_mut();
-        known.extend(hashes.iter().map(|hash| (*hash, now)));
+    fn release(&self, hash: u64) {
+        if let Some(claims) = self.claims.get() {
+            claims.release(hash);
+        }
     }
 
-    fn abandon(&self, id: &str) {
-        let mut abandoned = self.abandoned.borrow_mut();
-        if abandoned.len() >= MAX_ABANDONED_IDS {
-            abandoned.pop_front();
-        }
-        abandoned.push_back(AbandonedId {
-            hash: stable_hash(id.as_bytes()),
-            at: Instant::now(),
-        });
+    fn abandon(&self, hash: u64) {
+        self.abandoned.borrow_mut().push(hash);
+        self.remove_excess();
     }
 
-    fn expire(&self) {
+    fn remove_excess(&self) {
         let mut abandoned = self.abandoned.borrow_mut();
-        while abandoned
-            .front()
-            .is_some_and(|id| id.at.elapsed() >= ABANDONED_ID_TTL)
-        {
-            abandoned.pop_front();
+        while let Some(hash) = abandoned.pop_excess() {
+            self.release(hash);
         }
-        self.abandoned_elsewhere
-            .borrow_mut()
-            .retain(|_, heard_at| heard_at.elapsed() < ABANDONED_ID_TTL);
     }
 }
 
+/// What is known of the request with an id.
+#[derive(Clone, Copy, PartialEq)]
+enum IdState {
+    /// It has not been forwarded, or may run twice.
+    Unclaimed,
+    /// It must not run twice and may have run.
+    MayHaveRun,
+    /// It has ended for its client.
+    Answered,
+}
+
 /// The reservation of the id of a request in progress. If it is dropped after
-/// [`RequestIdGuard::forwarded`] and before [`RequestIdGuard::answered`], the client has left.
+/// [`RequestIdGuard::claim`] and before [`RequestIdGuard::answered`], the client has left.
 pub(super) struct RequestIdGuard {
     ids: Rc<RequestIds>,
     id: String,
-    may_run: bool,
+    hash: u64,
+    state: IdState,
 }
 
 impl RequestIdGuard {
-    /// Records that a request that must not run twice may run from now on.
-    pub(super) fn forwarded(&mut self) {
-        self.may_run = true;
+    /// Claims the id of a request that must not run twice and may run from now on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a request with the id is in progress, or may have run, at another process that
+    /// serves as the same proxy.
+    pub(super) fn claim(&mut self) -> Result<(), RequestError> {
+        if !self.ids.claim(self.hash) {
+            return Err(IN_USE);
+        }
+        self.state = IdState::MayHaveRun;
+        Ok(())
     }
 
-    /// Records that the request has its final response.
+    /// Records that the client has its final response.
     pub(super) fn answered(&mut self) {
-        self.may_run = false;
+        if self.state == IdState::MayHaveRun {
+            self.state = IdState::Answered;
+        }
     }
 }
 
 impl Drop for RequestIdGuard {
     fn drop(&mut self) {
         self.ids.open.borrow_mut().remove(&self.id);
-        if self.may_run {
-            self.ids.abandon(&self.id);
+        match self.state {
+            IdState::Unclaimed => {}
+            IdState::MayHaveRun => self.ids.abandon(self.hash),
+            IdState::Answered => self.ids.release(self.hash),
         }
     }
 }
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -3,6 +3,7 @@
 mod hostile;
 mod malformed;
 mod memory;
+mod request_ids;
 mod service;
 use dewrun_test_support::*;
 use std::io::{BufReader, ErrorKind, Read, Write};
