Count the time of a chunked upload too from when its client may have written it

On the platform the answer to a large chunked request that its endpoint read slowly came late: 2.65 s after the write for a time of 1 s (5 MB at 0.8 MB/s).

Cause: the estimate of when the client may have written its last byte needed the body's length, so the time of a chunked body ran from when its end was read. It was also taken only when a part of the body was read, so an endpoint that read nothing more left the last one in force.

Change: UploadProgress is a module of its own. It samples what has arrived while the final response is awaited; the client may have written all of it since the time at which all but a send buffer (4 MiB) had arrived, or all of its stated length. What arrives beyond shows that the client was writing still, so a long upload is not failed.

Evidence: the test asks for both framings now, with the same bounds, and failed before for the second (2.65 s).

--- a/src/main.rs
+++ b/src/main.rs
@@ -26,6 +26,7 @@
     pub mod stream;
     pub mod trace;
     mod unsolicited;
+    pub mod upload;
     pub mod upstream;
 }
 
--- a/src/net/bodies.rs
+++ b/src/net/bodies.rs
@@ -4,7 +4,8 @@
 use super::client::RequestError;
 use super::io::TrackedSocket;
 use super::limits::{self, ResourceLimit, ResourceReservation};
-use super::stream::{BodyStart, StreamedRequestBody, UploadProgress};
+use super::stream::{BodyStart, StreamedRequestBody};
+use super::upload::UploadProgress;
 use super::upstream::RequestBody;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
@@ -94,7 +95,7 @@
                 Buffered::TooLarge(read) => start = read,
             }
         }
-        let upload = UploadProgress::new(client.clone());
+        let upload = UploadProgress::new(client.clone(), exact, start.remaining_bytes());
         let streamed = StreamedRequestBody::new(
             start,
             body,
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,8 +1,8 @@
 //! Streamed bodies: of a request on its way to an endpoint, and of a response on its way to a
 //! client. Both buffer a bounded part and wait for the reader.
 
-use super::io::TrackedSocket;
 use super::limits::{self, ResourceReservation};
+use super::upload::UploadProgress;
 use bytes::Bytes;
 use dewrun_forwarding::BodyLength;
 use http_body_util::Full;
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::mpsc;
 use tokio::time::{sleep, Instant, Sleep};
 
 /// Maximum number of chunks of a response that wait for the client. Each has the size of one read
@@ -41,89 +41,6 @@
     bytes.map_or(BodyLength::Unknown, BodyLength::Known)
 }
 
-/// The part of a body that a client's system buffers, so that the client may have written it although
-/// it has not arrived: the usual maximum of a send buffer.
-const MAX_SEND_BUFFER_BYTES: u64 = 4 << 20;
-/// Interval at which [`UploadProgress::overdue`] looks for the time from which to count.
-const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Progress of a streamed request body.
-pub struct UploadProgress {
-    client: Rc<TrackedSocket>,
-    interrupted: Cell<bool>,
-    /// Time since which the client may have written the last byte, which waits for a slow endpoint;
-    /// `None` while the client is known to be writing.
-    may_be_written_since: Cell<Option<std::time::Instant>>,
-    ended: Cell<Option<std::time::Instant>>,
-    ended_notify: Notify,
-}
-
-impl UploadProgress {
-    /// Creates the progress of an upload of which nothing has been streamed yet.
-    pub fn new(client: Rc<TrackedSocket>) -> Rc<UploadProgress> {
-        Rc::new(UploadProgress {
-            client,
-            interrupted: Cell::new(false),
-            may_be_written_since: Cell::new(None),
-            ended: Cell::new(None),
-            ended_notify: Notify::new(),
-        })
-    }
-
-    /// Records that `remaining` bytes are yet to be read, and whether the reader waits for them.
-    fn record_remaining(&self, remaining: u64, is_waiting: bool) {
-        let unread = self.client.unread_bytes();
-        let awaits_client = is_waiting && unread == 0;
-        if awaits_client || remaining > unread + MAX_SEND_BUFFER_BYTES {
-            self.may_be_written_since.set(None);
-        } else if self.may_be_written_since.get().is_none() {
-            self.may_be_written_since
-                .set(Some(std::time::Instant::now()));
-        }
-    }
-
-    /// Waits until the client may have waited for `timeout` since it wrote the last byte, although
-    /// that byte has not been read.
-    pub async fn overdue(&self, timeout: Duration) {
-        loop {
-            match self.may_be_written_since.get().map(|at| at + timeout) {
-                Some(until) if until <= std::time::Instant::now() => return,
-                _ => sleep(OVERDUE_CHECK_INTERVAL).await,
-            }
-        }
-    }
-
-    /// Returns whether the client broke off the body.
-    pub fn is_interrupted(&self) -> bool {
-        self.interrupted.get()
-    }
-
-    /// Returns the time at which the last byte was written or arrived, if it has arrived. A client's
-    /// time starts when it has written its last byte, which a slow endpoint may keep from being read.
-    pub fn ended_at(&self) -> Option<std::time::Instant> {
-        self.ended.get()
-    }
-
-    /// Waits until the last byte has arrived, and returns the time like [`UploadProgress::ended_at`].
-    pub async fn ended(&self) -> std::time::Instant {
-        loop {
-            if let Some(at) = self.ended.get() {
-                return at;
-            }
-            self.ended_notify.notified().await;
-        }
-    }
-
-    fn end(&self) {
-        if self.ended.get().is_none() {
-            let written_at = self.may_be_written_since.get();
-            self.ended
-                .set(Some(written_at.unwrap_or_else(std::time::Instant::now)));
-            self.ended_notify.notify_waiters();
-        }
-    }
-}
-
 /// Maximum size of a part of a body that is passed to hyper at once, which copies it into a buffer
 /// of the connection whatever its size.
 const MAX_PART_BYTES: usize = 16 * 1024;
@@ -145,6 +62,11 @@
         }
     }
 
+    /// Returns the number of bytes that have not been taken.
+    pub fn remaining_bytes(&self) -> u64 {
+        self.bytes.len() as u64
+    }
+
     /// Takes the next part. The reservation is released with the last one.
     fn next_part(&mut self) -> Option<Bytes> {
         let length = self.bytes.len().min(MAX_PART_BYTES);
@@ -193,7 +115,7 @@
     }
 
     fn interrupt(&self) -> Poll<Option<Result<Frame<Bytes>, TruncatedMessage>>> {
-        self.upload.interrupted.set(true);
+        self.upload.interrupt();
         Poll::Ready(Some(Err(TruncatedMessage)))
     }
 }
@@ -219,15 +141,16 @@
                     }
                     Some(Err(_)) => return me.interrupt(),
                     Some(Ok(frame)) => match frame.into_data() {
-                        Ok(data) => data,
+                        Ok(data) => {
+                            me.upload.record_read(data.len() as u64);
+                            data
+                        }
                         // Trailers are not forwarded.
                         Err(_) => continue,
                     },
                 }
             } else {
-                if me.is_exact {
-                    me.upload.record_remaining(me.remaining, true);
-                }
+                me.upload.record_wait();
                 ready!(me.timer.as_mut().poll(cx));
                 return me.interrupt();
             };
@@ -236,9 +159,6 @@
                 Some(remaining) => me.remaining = remaining,
                 None => return me.interrupt(),
             }
-            if me.is_exact {
-                me.upload.record_remaining(me.remaining, false);
-            }
             if me.is_exact && me.remaining == 0 {
                 me.upload.end();
             }
--- a/tests/proxy/service.rs
+++ b/tests/proxy/service.rs
@@ -412,39 +412,70 @@
     }
 }
 
-/// Guards against a final response that comes long after its time: an endpoint that reads slowly
-/// keeps the proxy from reading the end of a request, whose client has written it and waits.
-#[test]
-fn a_request_that_its_endpoint_reads_slowly_is_failed_in_time() {
-    const BODY_BYTES: usize = 5 << 20;
-    const TIMEOUT: Duration = Duration::from_millis(1_000);
-    // The time for which an answer after the timeout is still one in time.
-    const GRACE: Duration = Duration::from_millis(500);
+/// Starts an endpoint that reads at most `bytes_per_s` bytes a second, and answers at the end of a
+/// chunked body.
+fn endpoint_that_reads_slowly(bytes_per_s: usize) -> SocketAddr {
+    const READS_PER_S: usize = 200;
     let (listener, address) = listen();
     socket2::SockRef::from(&listener)
         .set_recv_buffer_size(64 << 10)
         .expect("a small buffer");
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
-        let mut part = vec![0; 40 << 10];
-        // At most 800 KB a second.
-        while stream.read(&mut part).is_ok_and(|n| n > 0) {
-            thread::sleep(Duration::from_millis(50));
+        let mut part = vec![0; bytes_per_s / READS_PER_S];
+        while let Ok(n @ 1..) = stream.read(&mut part) {
+            if part[..n].ends_with(b"0\r\n\r\n") {
+                let _ = stream.write_all(OK.as_bytes());
+            }
+            thread::sleep(Duration::from_secs(1) / READS_PER_S as u32);
         }
     });
-    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", address, "ready")])));
-    let proxy = Proxy::start(DEWRUN, &config(discovery.address, &list(0, true, &[])));
+    address
+}
+
+/// Returns a request with a body in one chunk.
+fn chunked_request_text(class: &str, id: &str, timeout_ms: u32, body: &str) -> String {
+    let head = request_text(class, id, timeout_ms, "")
+        .replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    format!("{head}{:x}\r\n{body}\r\n0\r\n\r\n", body.len())
+}
+
+/// Guards against a final response that comes long after its time: an endpoint that reads slowly
+/// keeps the proxy from reading the end of a request, whose client has written it and waits.
+#[test]
+fn a_request_that_its_endpoint_reads_slowly_is_failed_in_time() {
+    const BODY_BYTES: usize = 5 << 20;
+    const TIMEOUT: Duration = Duration::from_millis(1_000);
+    // The time for which an answer after the timeout is still one in time.
+    const GRACE: Duration = Duration::from_millis(500);
     let body = "x".repeat(BODY_BYTES);
     let timeout_ms = TIMEOUT.as_millis() as u32;
-    let stream = send_request(
-        proxy.address,
-        &request_text("once", "w1", timeout_ms, &body),
-    );
-    let written_at = Instant::now();
-    let response = read_response(&stream).expect("a response");
-    assert_eq!(response.status(), 502);
-    let waited = written_at.elapsed();
-    assert!(waited < TIMEOUT + GRACE, "{waited:?} after the write");
+    for request in [
+        request_text("once", "w1", timeout_ms, &body),
+        chunked_request_text("once", "w2", timeout_ms, &body),
+    ] {
+        let address = endpoint_that_reads_slowly(800 << 10);
+        let discovery = Discovery::start(Some(list(5, true, &[entry("b0", address, "ready")])));
+        let proxy = Proxy::start(DEWRUN, &config(discovery.address, &list(0, true, &[])));
+        let stream = send_request(proxy.address, &request);
+        let written_at = Instant::now();
+        let response = read_response(&stream).expect("a response");
+        assert_eq!(response.status(), 502);
+        let waited = written_at.elapsed();
+        assert!(waited < TIMEOUT + GRACE, "{waited:?} after the write");
+    }
+}
+
+/// Guards against a long upload that is failed although its client is still writing it.
+#[test]
+fn a_chunked_upload_may_take_longer_than_the_timeout() {
+    let address = endpoint_that_reads_slowly(12 << 20);
+    let discovery = Discovery::start(Some(list(5, true, &[entry("b0", address, "ready")])));
+    let proxy = Proxy::start(DEWRUN, &config(discovery.address, &list(0, true, &[])));
+    let body = "x".repeat(24 << 20);
+    let request = chunked_request_text("once", "w3", 1_200, &body);
+    let response = try_call(proxy.address, &request).expect("a response");
+    assert_eq!(response.status(), 200);
 }
 
 #[test]
