Begin no late attempt for a client whose close could not be seen

A client that had sent much behind a request and closed its connection had another attempt made for it 0.5 to 0.8 s after the close, on the platform and in an installation.

Cause: the proxy reads nothing further while a request is in progress. With the receive window full, the client's system holds the end of the stream back, and is_closed_by_peer can't tell of it.

Change: where more than 16 KiB are unread behind a request that is not streamed, an attempt begins only within 80 ms after the request was taken. A later one is reported as not sent, and the request gets its answer.

--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `links` | the network between the processes of a fleet, with faults |
 //! | `malformed` | messages with a byte that makes them malformed |
 //! | `mutation` | senders of malformed packets, texts and files |
+//! | `unread` | clients that send more than is read, and endpoints that fail meanwhile |
 //! | `golden`, `wait` | comparison with golden files; waiting for a condition |
 //!
 //! # Panics
@@ -32,6 +33,7 @@
 mod message;
 mod mutation;
 mod proxy;
+mod unread;
 mod wait;
 
 pub use client::{read_response, request_text, send_request, try_call};
@@ -47,4 +49,5 @@
 pub use message::Message;
 pub use mutation::{mutation_count, Mutator};
 pub use proxy::{config, spawn, Proxy};
+pub use unread::{endpoints_that_turn_one_away, fill_connection};
 pub use wait::{until, WAIT_TIMEOUT};
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -337,6 +337,7 @@
         let (sender, receiver) = oneshot::channel();
         let open_request = OpenRequest {
             client_request: Rc::new(client_request),
+            taken_at: Instant::now(),
             deadline: attributes.deadline,
             response_sender: Some(sender),
             client: attributes.client,
--- a/src/net/driver/actions.rs
+++ b/src/net/driver/actions.rs
@@ -269,6 +269,19 @@
             })
     }
 
+    /// Returns whether a request has no final response yet and its client is known to wait for it.
+    fn is_client_waiting(&self, request: RequestId) -> bool {
+        let state = self.state.borrow();
+        state
+            .open_requests
+            .get(&request)
+            .is_some_and(|open_request| {
+                open_request.response_sender.is_some()
+                    && !open_request.client.is_closed_by_peer()
+                    && !open_request.may_client_have_left()
+            })
+    }
+
     /// Waits while the agent fetches updates that this process missed. An attempt that was decided
     /// before the process was suspended must not be sent before later drains are known.
     async fn wait_while_catching_up(&self) {
@@ -290,13 +303,7 @@
         record: EndpointRecord,
         times: AttemptTimes,
     ) -> Result<(), Outcome> {
-        let needs_response = self
-            .state
-            .borrow()
-            .open_requests
-            .get(&request)
-            .is_some_and(|open_request| open_request.response_sender.is_some());
-        if !needs_response || self.has_client_disconnected(request) || times.is_late_to_write() {
+        if !self.is_client_waiting(request) || times.is_late_to_write() {
             return Err(Outcome::NotSent);
         }
         let may_be_replaced = times
--- a/src/net/driver/open.rs
+++ b/src/net/driver/open.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// The time within which an attempt may begin without a look for a close that cannot be seen.
+const MAX_UNSEEN_CLOSE: Duration = Duration::from_millis(80);
+
 /// Final response to a request.
 pub enum FinalResponse {
     /// Response of an endpoint.
@@ -111,6 +114,7 @@
 
 pub(super) struct OpenRequest {
     pub(super) client_request: Rc<ClientRequest>,
+    pub(super) taken_at: Instant,
     pub(super) deadline: Instant,
     /// Sender of the final response; `None` once that was sent or the client has disconnected.
     pub(super) response_sender: Option<oneshot::Sender<FinalResponse>>,
@@ -134,6 +138,14 @@
         single_header(&self.client_request.headers, "request-id").unwrap_or("-")
     }
 
+    /// Returns whether the client may have left unseen: its system cannot tell of the close while
+    /// much of what the client sent behind the request is unread.
+    pub(super) fn may_client_have_left(&self) -> bool {
+        // Behind the head of a streamed request its own body is unread. It has one attempt.
+        let is_streamed = self.client_request.body.upload().is_some();
+        !is_streamed && self.taken_at.elapsed() > MAX_UNSEEN_CLOSE && self.client.may_hide_close()
+    }
+
     /// Records how an attempt ended that was sent at `sent`, and which failure response answers for
     /// all attempts so far, if one does:
     ///
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -39,6 +39,8 @@
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const CHUNK_BYTES: usize = 8 * 1024;
+/// Unread bytes up to which the receive window counts as open; systems begin with a larger one.
+const MIN_RECEIVE_WINDOW_BYTES: u64 = 16 * 1024;
 
 /// How much of a request has been written.
 #[derive(Default)]
@@ -228,6 +230,12 @@
         rustix::io::ioctl_fionread(&self.stream).unwrap_or_default()
     }
 
+    /// Returns whether the peer may have closed the connection although it looks open: its system
+    /// holds the end of the stream back while the receive window is full.
+    pub fn may_hide_close(&self) -> bool {
+        self.unread_bytes() > MIN_RECEIVE_WINDOW_BYTES
+    }
+
     /// Waits until there is something to read or the peer has disconnected.
     pub async fn readable(&self) {
         let _ = self.stream.readable().await;
--- a/tests/installation/main.rs
+++ b/tests/installation/main.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod command;
+mod disconnects;
 mod late_answers;
 mod lengths;
 mod malformed;
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests of the platform's proxy over loopback sockets.
 
+mod disconnects;
 mod hostile;
 mod malformed;
 mod memory;
