Let a returned cell wait for the keys that moved while it was lost

Cause: a lost cell is forgotten after the longest window, but its keys move after the window of their own class. Between the two it was known as listed long ago.

Change: a cell keeps its absences, and is as good as new to keys whose window is no longer than one of them.

--- a/crates/replication/src/cells.rs
+++ b/crates/replication/src/cells.rs
@@ -8,22 +8,63 @@
 //!
 //! A key moves when a cell is added or lost. It then has no usable cell until the deduplication
 //! window of the requests sent to its previous cell has passed, because a retry cannot be
-//! distinguished from a first attempt.
+//! distinguished from a first attempt. A cell that returns is as good as added to the keys that moved
+//! while it was lost, which are those with a window as long as its absence, or a shorter one.
 
 use std::collections::BTreeMap;
 
 /// Milliseconds on a monotonic clock.
 pub type Millis = f64;
 
-/// The listing history of one cell.
+/// A time without a ready member, after which a cell returned.
 #[derive(Clone, Copy, Debug)]
+struct Absence {
+    returned_at: Millis,
+    duration: Millis,
+}
+
+impl Absence {
+    /// Returns whether keys moved to another cell meanwhile: those of requests with this
+    /// deduplication window or a shorter one.
+    fn has_moved_keys(&self, window: Millis) -> bool {
+        self.duration >= window
+    }
+}
+
+/// The listing history of one cell.
+#[derive(Clone, Debug)]
 struct Cell {
     first_listed_at: Millis,
     /// The time at which the cell lost its last ready member.
     lost_at: Option<Millis>,
+    /// Earlier absences that still count, the latest and shortest last.
+    absences: Vec<Absence>,
 }
 
 impl Cell {
+    /// Records that the cell has a ready member.
+    fn record_ready(&mut self, now: Millis) {
+        let Some(lost_at) = self.lost_at.take() else {
+            return;
+        };
+        let duration = now - lost_at;
+        let is_past = |absence: &Absence| now >= absence.returned_at + absence.duration;
+        self.absences
+            .retain(|absence| absence.duration > duration && !is_past(absence));
+        self.absences.push(Absence {
+            returned_at: now,
+            duration,
+        });
+    }
+
+    /// Returns since when the cell has been listed for the keys of requests with a deduplication
+    /// window: a cell from which they moved in an absence is as good as new to them.
+    fn listed_since(&self, window: Millis) -> Millis {
+        let moving = self.absences.iter().filter(|a| a.has_moved_keys(window));
+        let returned_at = moving.map(|absence| absence.returned_at);
+        returned_at.fold(self.first_listed_at, Millis::max)
+    }
+
     /// Returns whether the cell keeps its keys. A lost cell keeps them until no retry of a request
     /// that it received can arrive.
     fn keeps_keys(&self, now: Millis, window: Millis) -> bool {
@@ -33,7 +74,7 @@
     /// Returns whether requests may be sent to the cell. A new cell waits until no retry of a
     /// request that the keys' previous cell received can arrive.
     fn accepts_requests(&self, now: Millis, window: Millis) -> bool {
-        now >= self.first_listed_at + window
+        now >= self.listed_since(window) + window
     }
 }
 
@@ -61,8 +102,9 @@
             let cell = self.cells.entry(id).or_insert(Cell {
                 first_listed_at,
                 lost_at: None,
+                absences: Vec::new(),
             });
-            cell.lost_at = None;
+            cell.record_ready(now);
         }
     }
 
--- a/crates/replication/tests/cells.rs
+++ b/crates/replication/tests/cells.rs
@@ -1,7 +1,8 @@
 //! Tests of the assignment of keys to cells.
 
 use dewrun_replication::cells::{Cells, Millis};
-use proptest::prelude::{any, prop, prop_assert, proptest};
+use proptest::prelude::{any, prop, prop_assert, proptest, ProptestConfig};
+use proptest::test_runner::RngSeed;
 
 const WINDOW: Millis = 5_000.0;
 
@@ -68,6 +69,63 @@
     );
 }
 
+/// Guards against a key that runs in two cells within its window: where another class has a longer
+/// window, a cell that returned was still known, and took keys that had moved meanwhile.
+#[test]
+fn a_cell_that_returns_waits_for_the_keys_that_moved() {
+    const LONGER_WINDOW: Millis = 4.0 * WINDOW;
+    let mut cells = Cells::default();
+    cells.update(0.0, [1, 2].into_iter(), LONGER_WINDOW);
+    let before = cells_of_keys(&cells, 0.0);
+    let longer = |cells: &Cells, now, key| cells.cell_of_key(now, key, LONGER_WINDOW);
+    let key = (0..).find(|key| longer(&cells, 0.0, *key) == Some(1));
+    let key = key.expect("a key of the cell");
+    cells.update(100.0, [2].into_iter(), LONGER_WINDOW);
+    let returned_at = 200.0 + WINDOW;
+    assert!(!cells_of_keys(&cells, returned_at).contains(&Some(1)));
+    cells.update(returned_at, [1, 2].into_iter(), LONGER_WINDOW);
+    let moved = cells_of_keys(&cells, returned_at);
+    assert!(!moved.contains(&Some(1)) && moved.contains(&Some(u16::MAX)));
+    assert_eq!(
+        longer(&cells, returned_at, key),
+        Some(1),
+        "it has not moved"
+    );
+    // A short absence meanwhile moves no key, and shortens no wait.
+    cells.update(returned_at + 10.0, [2].into_iter(), LONGER_WINDOW);
+    cells.update(returned_at + 20.0, [1, 2].into_iter(), LONGER_WINDOW);
+    assert_eq!(cells_of_keys(&cells, returned_at + WINDOW - 1.0), moved);
+    assert_eq!(cells_of_keys(&cells, returned_at + WINDOW), before);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_000, rng_seed: RngSeed::Fixed(8), ..ProptestConfig::default() })]
+
+    /// The same where two classes have different windows.
+    #[test]
+    fn a_key_has_at_most_one_ready_cell_within_the_window_of_its_class(
+        lists in prop::collection::vec((0.0f64..4_000.0, prop::collection::btree_set(0u16..4, 0..4)), 1..30),
+        key in any::<u64>(),
+    ) {
+        for window in [1_000.0, 3_000.0, 8_000.0] {
+            let mut cells = Cells::default();
+            let mut now = 0.0;
+            let mut sent: Vec<(Millis, u16)> = Vec::new();
+            for (gap, ready) in &lists {
+                cells.update(now, ready.iter().copied(), 8_000.0);
+                for at in [now, now + gap * 0.9] {
+                    if let Some(cell) = cells.cell_of_key(at, key, window).filter(|cell| ready.contains(cell)) {
+                        let moved = sent.iter().any(|(before, to)| *to != cell && at - before < window);
+                        prop_assert!(!moved, "{cell} at {at} after {:?}", sent);
+                        sent.push((at, cell));
+                    }
+                }
+                now += gap;
+            }
+        }
+    }
+}
+
 proptest! {
     /// Within a deduplication window a key has at most one ready cell, however cells are added and
     /// lost.
