Take the cells of a replaced pool over at a reload

Cause: a change of a tenant, class or pool key starts a new driver, whose cells were empty, as at the start of a process.

Change: CarriedState is what a driver takes over: the cells and the clock of their times. Windows that a file shortens count until no retry under them can come; a window that grows leaves keys where they have moved.

The two tests of real processes, each kind of change against a lost and a new cell, failed before at the tenant's and pass.

--- a/crates/replication/tests/cells.rs
+++ b/crates/replication/tests/cells.rs
@@ -126,6 +126,57 @@
     }
 }
 
+#[test]
+fn a_longer_window_of_earlier_settings_counts_until_it_has_passed() {
+    let mut cells = Cells::default();
+    cells.update(0.0, [1, 2].into_iter(), 2.0 * WINDOW);
+    let before = cells_of_keys(&cells, 10.0);
+    cells.change_window(10.0, 2.0 * WINDOW, WINDOW);
+    cells.update(10.0, [2].into_iter(), WINDOW);
+    // A further change neither ends nor prolongs it.
+    cells.change_window(20.0, WINDOW, WINDOW / 2.0);
+    let until = 10.0 + 2.0 * WINDOW;
+    assert_eq!(cells_of_keys(&cells, until - 1.0), before);
+    assert_eq!(cells_of_keys(&cells, until), vec![Some(2); before.len()]);
+    cells.update(until, [].into_iter(), 0.0);
+    assert_eq!(cells.cell_of_key(until, 1, WINDOW), None, "none is needed");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 3_000, rng_seed: RngSeed::Fixed(70), ..ProptestConfig::default() })]
+
+    /// Within the window in which a key was sent it has at most one ready cell, whatever a series of
+    /// reloads makes of the window and the cells.
+    #[test]
+    fn a_key_has_at_most_one_ready_cell_within_a_window_over_reloads(
+        reloads in prop::collection::vec(
+            (0.0f64..4_000.0, prop::collection::btree_set(0u16..4, 0..4), 0usize..4), 1..30),
+        key in any::<u64>(),
+    ) {
+        const WINDOWS: [Millis; 4] = [0.0, 1_000.0, 3_000.0, 8_000.0];
+        let mut cells = Cells::default();
+        let mut now = 0.0;
+        let mut window = 0.0;
+        let mut sent: Vec<(Millis, Millis, u16)> = Vec::new();
+        for (gap, ready, next) in reloads {
+            cells.change_window(now, window, WINDOWS[next]);
+            window = WINDOWS[next];
+            cells.update(now, ready.iter().copied(), window);
+            for at in [now, now + gap * 0.9] {
+                if window == 0.0 {
+                    continue;
+                }
+                if let Some(cell) = cells.cell_of_key(at, key, window).filter(|cell| ready.contains(cell)) {
+                    let moved = sent.iter().any(|(before, window, to)| *to != cell && at - before < *window);
+                    prop_assert!(!moved, "{cell} at {at}, window {window}, after {:?}", sent);
+                    sent.push((at, window, cell));
+                }
+            }
+            now += gap;
+        }
+    }
+}
+
 proptest! {
     /// Within a deduplication window a key has at most one ready cell, however cells are added and
     /// lost.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,12 +4,14 @@
 //! request, and one outcome per send.
 
 mod actions;
+mod carry_over;
 mod clock;
 mod log;
 mod open;
 mod pool;
 mod request_guard;
 
+pub use carry_over::CarriedState;
 use clock::Clock;
 use log::Unserved;
 pub use open::{FinalResponse, RequestAttributes};
@@ -93,6 +95,8 @@
     pub max_open_requests: usize,
     /// Control-plane agent that shares attempt budgets with the fleet; `None` outside a fleet.
     pub fleet: Option<Rc<Agent>>,
+    /// The state of the driver that this one replaces.
+    pub carried: CarriedState,
 }
 
 /// Connects the balancer with the network; see the module documentation.
@@ -131,7 +135,7 @@
             .collect();
         let driver = Rc::new_cyclic(|me| Driver {
             me: me.clone(),
-            clock: Clock::new(),
+            clock: options.carried.clock,
             upstream,
             membership: Cell::new(options.membership),
             name: settings.service.clone(),
@@ -167,7 +171,7 @@
                 list_version: Some(options.initial_list.index),
                 subscription_task: None,
                 unserved: Unserved::default(),
-                cells: Cells::default(),
+                cells: options.carried.cells,
             }),
         });
         if let Some(fleet) = &driver.fleet {
@@ -313,11 +317,9 @@
             .flatten()
             .copied()
             .fold(0.0, f64::max);
-        if max_window > 0.0 {
-            state
-                .cells
-                .update(self.clock.now(), state.directory.ready_cells(), max_window);
-        }
+        state
+            .cells
+            .update(self.clock.now(), state.directory.ready_cells(), max_window);
     }
 
     /// Accepts a request. Returns `None` if this proxy has as many open requests as it can, or is
--- a/src/net/driver/clock.rs
+++ b/src/net/driver/clock.rs
@@ -4,6 +4,7 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// A clock that starts at the system time and advances with the monotonic clock.
+#[derive(Clone, Copy)]
 pub(super) struct Clock {
     start: Instant,
     unix_ms: Millis,
--- a/src/net/driver/tests.rs
+++ b/src/net/driver/tests.rs
@@ -29,6 +29,7 @@
         membership,
         max_open_requests: 10,
         fleet: None,
+        carried: CarriedState::default(),
     };
     let upstream = Upstream::new(limits, 1_000.0, 30_000.0, Vec::new());
     Driver::start(options, Rc::new(upstream))
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -18,7 +18,7 @@
 use self::handover::NoteExchange;
 use self::id_claims::IdClaims;
 use super::client::{ClientServer, ClientTimeouts, DrainState};
-use super::driver::{Driver, DriverOptions, Membership};
+use super::driver::{CarriedState, Driver, DriverOptions, Membership};
 use super::limits::{Limits, CLIENT_IDLE_TIMEOUT, MAX_BUFFERED_BODY_BYTES, REQUEST_HEAD_TIMEOUT};
 use super::upstream::Upstream;
 use crate::signals::Signals;
@@ -188,6 +188,7 @@
         membership: Membership::Discovery(config.discovery),
         max_open_requests: limits.clients.max(),
         fleet: None,
+        carried: CarriedState::default(),
     };
     Driver::start(options, upstream.clone())
 }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -2,7 +2,7 @@
 //! source.
 
 use super::discovery::{Endpoint, EndpointList};
-use super::driver::{Driver, DriverOptions, Membership as MembershipSource};
+use super::driver::{CarriedState, Driver, DriverOptions, Membership as MembershipSource};
 use super::limits::Limits;
 use super::upstream::{ResponseTimeouts, Upstream};
 use crate::supervisor::{keep_running, SupervisedTask};
@@ -64,7 +64,7 @@
 
 impl Pool {
     /// Starts a pool. A pool that replaces another of its name takes over the known members of that
-    /// one.
+    /// one, and the state of its driver that [`CarriedState`] describes.
     pub fn start(
         config: Config,
         settings: Settings,
@@ -101,6 +101,9 @@
             membership,
             max_open_requests: context.limits.clients.max(),
             fleet: context.fleet.clone(),
+            carried: previous.map_or_else(CarriedState::default, |previous| {
+                previous.driver.carried_state(&settings)
+            }),
         };
         let superseded = previous.map(|previous| {
             let mut superseded = previous.superseded.borrow().clone();
--- a/tests/installation/main.rs
+++ b/tests/installation/main.rs
@@ -2,6 +2,7 @@
 //! operator.
 
 mod callers;
+mod carry_over;
 mod command;
 mod disconnects;
 mod late_answers;
