Choose drains that were set before a list for that list

In a fleet a reload that changed a tenant made a process reject everything: it took reports for true that would drain all its members, which it had ignored before.

Cause: a pool that a reload starts anew is told the drains before it has a list. That reports are too many is a fraction of the listed members, of which there were none.

Change: the directory keeps the drains as they were set, and chooses which apply when the first entries of a list come.

--- a/src/net/discovery/directory.rs
+++ b/src/net/discovery/directory.rs
@@ -64,6 +64,9 @@
     records: FxHashMap<EndpointId, EndpointRecord>,
     /// The entries of the list, which are kept only in a fleet, where drains can override the list.
     listed: Option<FxHashMap<EndpointId, EndpointInfo>>,
+    /// The drains as they were set.
+    drains: Drains,
+    /// The drains that apply to the endpoints of the list.
     drained: DrainedMembers,
 }
 
@@ -74,6 +77,14 @@
     })
 }
 
+/// Returns the ids of the endpoints that are ready by the list.
+fn ready_ids(listed: &FxHashMap<EndpointId, EndpointInfo>) -> Vec<EndpointId> {
+    let ready = listed
+        .iter()
+        .filter(|(_, info)| info.state == EndpointState::Ready);
+    ready.map(|(id, _)| *id).collect()
+}
+
 impl Directory {
     /// Creates an empty directory with the zones and machine kinds of a deployment.
     pub fn new(settings: &Settings) -> Directory {
@@ -114,15 +125,24 @@
 
     /// Replaces the set of endpoints that orders and reports drain.
     pub fn set_drains(&mut self, drains: Drains) -> DrainResult {
+        self.drains = drains;
         let Some(listed) = self.listed.take() else {
             return DrainResult::default();
         };
-        let ready: Vec<EndpointId> = listed
-            .iter()
-            .filter(|(_, info)| info.state == EndpointState::Ready)
-            .map(|(id, _)| *id)
-            .collect();
-        self.drained = drains.by_peers;
+        let are_reports_ignored = self.choose_drains(&listed);
+        let change = self.update_states(&ready_ids(&listed), &listed);
+        self.listed = Some(listed);
+        DrainResult {
+            change,
+            are_reports_ignored,
+        }
+    }
+
+    /// Chooses the drains that apply to the endpoints of a list: all orders, and all reports unless
+    /// they would drain too many. Returns whether the reports are ignored.
+    fn choose_drains(&mut self, listed: &FxHashMap<EndpointId, EndpointInfo>) -> bool {
+        let ready = ready_ids(listed);
+        self.drained = self.drains.by_peers.clone();
         let reported = ready
             .iter()
             .filter(|id| self.is_drained(**id, &listed[id]))
@@ -131,13 +151,10 @@
         if are_reports_ignored {
             self.drained.clear();
         }
-        self.drained.extend(drains.by_operators);
-        let change = self.update_states(&ready, &listed);
-        self.listed = Some(listed);
-        DrainResult {
-            change,
-            are_reports_ignored,
-        }
+        let orders = self.drains.by_operators.iter();
+        self.drained
+            .extend(orders.map(|(name, at)| (name.clone(), *at)));
+        are_reports_ignored
     }
 
     /// Updates the effective states of the endpoints that are ready by the list.
@@ -221,13 +238,35 @@
         if list.snapshot {
             self.mark_unlisted_removed(list, &mut change.stale);
         }
-        change.endpoints.reserve(list.endpoints.len());
-        for endpoint in &list.endpoints {
-            self.apply_endpoint(endpoint, &mut change);
+        let listed: Vec<(SocketAddr, EndpointInfo)> = list
+            .endpoints
+            .iter()
+            .map(|endpoint| {
+                let id = self.id(&endpoint.name);
+                (endpoint.address, self.endpoint_info(id, endpoint))
+            })
+            .collect();
+        self.record_listed(listed.iter().map(|(_, info)| *info));
+        change.endpoints.reserve(listed.len());
+        for (address, info) in listed {
+            self.apply_endpoint(address, info, &mut change);
         }
         change
     }
 
+    /// Records entries of the list where drains can override it. Drains that were set before the
+    /// first entries are chosen for these: without a list, no reports are too many.
+    fn record_listed(&mut self, infos: impl Iterator<Item = EndpointInfo>) {
+        if let Some(mut listed) = self.listed.take() {
+            let is_first = listed.is_empty();
+            listed.extend(infos.map(|info| (info.id, info)));
+            if is_first {
+                self.choose_drains(&listed);
+            }
+            self.listed = Some(listed);
+        }
+    }
+
     /// Marks the endpoints that a snapshot does not name as removed.
     fn mark_unlisted_removed(&mut self, snapshot: &EndpointList, stale: &mut Vec<EndpointId>) {
         let listed_names: FxHashSet<&str> =
@@ -246,17 +285,19 @@
         }
     }
 
-    fn apply_endpoint(&mut self, endpoint: &Endpoint, change: &mut DirectoryChange) {
-        let id = self.id(&endpoint.name);
-        let mut info = self.endpoint_info(id, endpoint);
-        if let Some(listed) = &mut self.listed {
-            listed.insert(id, info);
-            if info.state == EndpointState::Ready && self.is_drained(id, &info) {
-                info.state = EndpointState::Draining;
-            }
+    fn apply_endpoint(
+        &mut self,
+        address: SocketAddr,
+        mut info: EndpointInfo,
+        change: &mut DirectoryChange,
+    ) {
+        let id = info.id;
+        let can_be_drained = self.listed.is_some() && info.state == EndpointState::Ready;
+        if can_be_drained && self.is_drained(id, &info) {
+            info.state = EndpointState::Draining;
         }
         let record = EndpointRecord {
-            address: endpoint.address,
+            address,
             state: info.state,
             started_at: info.started_at,
         };
--- a/src/net/discovery/directory/tests.rs
+++ b/src/net/discovery/directory/tests.rs
@@ -71,3 +71,28 @@
         .endpoints;
     assert_eq!(infos[0].state, EndpointState::Draining);
 }
+
+/// Guards against a pool that rejects everything after a reload: reports of other processes came
+/// before its first list, and none of them was too many for a list without endpoints.
+#[test]
+fn reports_that_come_before_a_list_count_against_that_list() {
+    let drains = |names: &[&str]| Drains {
+        by_peers: names.iter().map(|name| (name.to_string(), 1.0)).collect(),
+        by_operators: DrainedMembers::default(),
+    };
+    let ready = [("a", "127.0.0.1:1", "ready"), ("b", "127.0.0.1:2", "ready")];
+    let states = |change: DirectoryChange| -> Vec<EndpointState> {
+        change.endpoints.iter().map(|info| info.state).collect()
+    };
+    let mut directory = Directory::default();
+    directory.enable_drains();
+    directory.set_drains(drains(&["a", "b"]));
+    let change = directory.apply(&list(true, &ready));
+    assert_eq!(states(change), [EndpointState::Ready; 2]);
+    let mut directory = Directory::default();
+    directory.enable_drains();
+    directory.set_drains(drains(&["a"]));
+    let change = directory.apply(&list(true, &ready));
+    let one_of_two = [EndpointState::Draining, EndpointState::Ready];
+    assert_eq!(states(change), one_of_two);
+}
--- a/tests/installation/carry_over.rs
+++ b/tests/installation/carry_over.rs
@@ -27,14 +27,24 @@
     Change::Listener,
 ];
 
-/// Returns a file of a fleet of one process, whose members are those of two cells.
+/// Returns a file of a process of a fleet that has one voter, whose members are those of two cells.
 fn file_with(fleet: SocketAddr, members: &str, changed: Option<Change>) -> String {
+    file_of(("i0", fleet), fleet, members, changed)
+}
+
+/// Returns a file like [`file_with`] of a process with a name and an address in the fleet.
+fn file_of(
+    (name, own): (&str, SocketAddr),
+    voter: SocketAddr,
+    members: &str,
+    changed: Option<Change>,
+) -> String {
     let changed = |change, old: &'static str, new: &'static str| match changed {
         Some(made) if made == change => new,
         _ => old,
     };
     format!(
-        "[instance]\nname = \"i0\"\n[fleet]\nname = \"prairie\"\naddress = \"{fleet}\"\nmembers = [\"{fleet}\"]\n\
+        "[instance]\nname = \"{name}\"\n[fleet]\nname = \"prairie\"\naddress = \"{own}\"\nmembers = [\"{voter}\"]\n\
          {listener}[[pool]]\nname = \"main\"\nwarm_up = \"0s\"\nattempts = {attempts}\nmembers = [{members}]\n\
          [[class]]\nname = \"order\"\neffect = \"keyed\"\nwindow = \"{window}\"\nscope = \"cell\"\naim = \"{aim}\"\n\
          [[tenant]]\nname = \"acme\"\nrate = {rate}\n\
@@ -134,3 +144,24 @@
         }
     }
 }
+
+/// Guards against a process that rejects everything after a reload: it ignored the reports of another
+/// one that most of its members drain, and took them for true before the new pool had its list.
+#[test]
+fn reports_that_are_ignored_stay_ignored_over_a_reload() {
+    let endpoints = [(); 2].map(|()| endpoint_returning(ok("done")));
+    let members = |is_draining| {
+        let [one, other] = &endpoints;
+        let one = member(one, 1, is_draining);
+        format!("{one}, {}", member(other, 2, is_draining))
+    };
+    let addresses = free_addresses(2);
+    let installation = start_fleet_of_one(addresses[0], &members(false));
+    let other = ("i1", addresses[1]);
+    let _reporting = Installation::start(&file_of(other, addresses[0], &members(true), None));
+    installation.daemon.wait_for_log("the reports are ignored");
+    assert_eq!(serve_all_keys(&installation), KEYS);
+    let changed = file_with(addresses[0], &members(false), Some(Change::Tenant));
+    installation.reload(&changed, 1);
+    assert_eq!(serve_all_keys(&installation), KEYS);
+}
