Let one adapter read and write both kinds of validated connections

ClientIo and EndpointIo had the same read loop and delegated their writes alike. ValidatedIo has both once; what differs is the Framing: how much is read at once, what hyper gets in place of the rest of a malformed message, and that a request to an endpoint begins a response. No behaviour changes.

--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -5,6 +5,7 @@
 mod client;
 mod endpoint;
 mod passed;
+mod validated;
 
 pub use client::ClientIo;
 pub use endpoint::EndpointIo;
