Look for hidden closes only behind more than 32 KiB unread

A client that pipelines some fifty small requests has 16 KiB unread, and its close is still seen. A probe found the end of a stream hidden from 87 KB on (parts of 10 bytes; larger parts from 102 KB on); systems with the smallest usual buffers begin with windows of some 43 KB. The tests of disconnects pass, in both modes.

--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -41,7 +41,7 @@
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const CHUNK_BYTES: usize = 8 * 1024;
 /// Unread bytes up to which the receive window counts as open; systems begin with a larger one.
-const MIN_RECEIVE_WINDOW_BYTES: u64 = 16 * 1024;
+const MIN_RECEIVE_WINDOW_BYTES: u64 = 32 * 1024;
 
 /// How much of a request has been written.
 #[derive(Default)]
