Keep a history of the cells for each class, by its own window

Change: CellsByClass has the cells of each class; a cell that was lost for a class's window is forgotten for that class, so the absences are not needed. A shortened window counts for its class alone, and a class with a new name takes over the cells of one that is left out.

--- a/crates/replication/src/cells.rs
+++ b/crates/replication/src/cells.rs
@@ -8,98 +8,33 @@
 //!
 //! A key moves when a cell is added or lost. It then has no usable cell until the deduplication
 //! window of the requests sent to its previous cell has passed, because a retry cannot be
-//! distinguished from a first attempt. A cell that returns is as good as added to the keys that moved
-//! while it was lost, which are those with a window as long as its absence, or a shorter one.
+//! distinguished from a first attempt. Classes have different windows, so their keys move at different
+//! times, and [`CellsByClass`] keeps a history for each.
 
 use std::collections::BTreeMap;
 
 /// Milliseconds on a monotonic clock.
 pub type Millis = f64;
 
-/// A time without a ready member, after which a cell returned.
-#[derive(Clone, Copy, Debug)]
-struct Absence {
-    returned_at: Millis,
-    duration: Millis,
-}
-
-impl Absence {
-    /// Returns whether keys moved to another cell meanwhile: those of requests with this
-    /// deduplication window or a shorter one.
-    fn has_moved_keys(&self, window: Millis) -> bool {
-        self.duration >= window
-    }
-}
-
 /// The listing history of one cell.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Cell {
     first_listed_at: Millis,
     /// The time at which the cell lost its last ready member.
     lost_at: Option<Millis>,
-    /// Windows up to this one whose keys have moved since the cell was lost, although its absence is
-    /// shorter: settings had a shorter window meanwhile.
-    moved_window: Millis,
-    /// Earlier absences that still count, the latest and shortest last.
-    absences: Vec<Absence>,
 }
 
 impl Cell {
-    /// Returns a cell that has been listed since a time.
-    fn listed_at(first_listed_at: Millis) -> Cell {
-        Cell {
-            first_listed_at,
-            lost_at: None,
-            moved_window: 0.0,
-            absences: Vec::new(),
-        }
-    }
-
-    /// Records that the cell has a ready member.
-    fn record_ready(&mut self, now: Millis) {
-        let Some(lost_at) = self.lost_at.take() else {
-            return;
-        };
-        let duration = std::mem::take(&mut self.moved_window).max(now - lost_at);
-        let is_past = |absence: &Absence| now >= absence.returned_at + absence.duration;
-        self.absences
-            .retain(|absence| absence.duration > duration && !is_past(absence));
-        self.absences.push(Absence {
-            returned_at: now,
-            duration,
-        });
-    }
-
-    /// Returns since when the cell has been listed for the keys of requests with a deduplication
-    /// window: a cell from which they moved in an absence is as good as new to them.
-    fn listed_since(&self, window: Millis) -> Millis {
-        let moving = self.absences.iter().filter(|a| a.has_moved_keys(window));
-        let returned_at = moving.map(|absence| absence.returned_at);
-        returned_at.fold(self.first_listed_at, Millis::max)
-    }
-
     /// Returns whether the cell keeps its keys. A lost cell keeps them until no retry of a request
     /// that it received can arrive.
     fn keeps_keys(&self, now: Millis, window: Millis) -> bool {
-        self.lost_at
-            .is_none_or(|lost_at| now < lost_at + window && self.moved_window < window)
-    }
-
-    /// Records that a window grows: keys that have moved by the shorter one stay where they are.
-    fn lengthen_window(&mut self, now: Millis, before: Millis, after: Millis) {
-        if self.lost_at.is_some_and(|lost_at| now >= lost_at + before) {
-            self.moved_window = self.moved_window.max(after);
-        }
-        let moving = self.absences.iter_mut();
-        for absence in moving.filter(|absence| absence.has_moved_keys(before)) {
-            absence.duration = absence.duration.max(after);
-        }
+        self.lost_at.is_none_or(|lost_at| now < lost_at + window)
     }
 
     /// Returns whether requests may be sent to the cell. A new cell waits until no retry of a
     /// request that the keys' previous cell received can arrive.
     fn accepts_requests(&self, now: Millis, window: Millis) -> bool {
-        now >= self.listed_since(window) + window
+        now >= self.first_listed_at + window
     }
 }
 
@@ -111,7 +46,7 @@
     until: Millis,
 }
 
-/// The cells of one pool by the numbers in its endpoint list.
+/// The cells of one pool by the numbers in its endpoint list, as the keys of one class see them.
 #[derive(Clone, Debug, Default)]
 pub struct Cells {
     cells: BTreeMap<u16, Cell>,
@@ -119,20 +54,17 @@
 }
 
 impl Cells {
-    /// Changes the deduplication window of a class. 0 stands for a class whose keys are not bound to
-    /// a cell. A longer window counts for as long as there may be retries of requests that were sent
-    /// under it.
+    /// Changes the deduplication window of the class. A longer window counts for as long as there
+    /// may be retries of requests that were sent under it.
     pub fn change_window(&mut self, now: Millis, before: Millis, after: Millis) {
         let in_force = before.max(self.earlier_window(now));
+        // The keys of a cell that was lost for longer have moved, also if the window grows.
+        self.cells.retain(|_, cell| cell.keeps_keys(now, in_force));
         if after < before {
             self.earlier = EarlierWindow {
                 window: in_force,
                 until: self.earlier.until.max(now + before),
             };
-        } else if after > in_force && in_force > 0.0 {
-            for cell in self.cells.values_mut() {
-                cell.lengthen_window(now, in_force, after);
-            }
         }
     }
 
@@ -147,27 +79,23 @@
     }
 
     /// Updates the cells that have a ready member. If no cell was known before, as at the start,
-    /// all count as listed long ago. `max_window` is the longest deduplication window of any
-    /// request; if it is 0, no cell needs to be known.
-    pub fn update(&mut self, now: Millis, ready: impl Iterator<Item = u16>, max_window: Millis) {
-        let max_window = max_window.max(self.earlier_window(now));
-        if max_window == 0.0 {
-            self.cells.clear();
-            return;
-        }
+    /// all count as listed long ago. `window` is the deduplication window of the class.
+    pub fn update(&mut self, now: Millis, ready: impl Iterator<Item = u16>, window: Millis) {
+        let window = window.max(self.earlier_window(now));
         let ready: Vec<u16> = ready.collect();
         for (id, cell) in &mut self.cells {
             if !ready.contains(id) {
                 cell.lost_at.get_or_insert(now);
             }
         }
-        self.cells
-            .retain(|_, cell| cell.keeps_keys(now, max_window));
+        self.cells.retain(|_, cell| cell.keeps_keys(now, window));
         let first_listed_at = if self.cells.is_empty() { f64::MIN } else { now };
         for id in ready {
-            let cell = self.cells.entry(id);
-            let cell = cell.or_insert_with(|| Cell::listed_at(first_listed_at));
-            cell.record_ready(now);
+            let cell = self.cells.entry(id).or_insert(Cell {
+                first_listed_at,
+                lost_at: None,
+            });
+            cell.lost_at = None;
         }
     }
 
@@ -196,6 +124,69 @@
     }
 }
 
+/// The cells for one class of requests.
+#[derive(Clone, Debug, Default)]
+struct ClassCells {
+    /// The deduplication window; 0 for a class that the settings have left out.
+    window: Millis,
+    cells: Cells,
+}
+
+impl ClassCells {
+    fn set_window(&mut self, now: Millis, window: Millis) {
+        self.cells.change_window(now, self.window, window);
+        self.window = window;
+    }
+
+    /// Returns the longest window that counts.
+    fn window_in_force(&self, now: Millis) -> Millis {
+        self.window.max(self.cells.earlier_window(now))
+    }
+}
+
+/// The cells of one pool for each class whose keys are bound to a cell, by name. Each class has a
+/// history of its own, as its keys move by its own window.
+#[derive(Clone, Debug, Default)]
+pub struct CellsByClass {
+    classes: BTreeMap<String, ClassCells>,
+}
+
+impl CellsByClass {
+    /// Sets the classes of new settings, with their deduplication windows. A class with a new name
+    /// may have the keys of one that is left out, so it takes over the cells of that one; of several,
+    /// of the one with the longest window.
+    pub fn set_windows(&mut self, now: Millis, windows: &BTreeMap<String, Millis>) {
+        for (name, class) in &mut self.classes {
+            class.set_window(now, windows.get(name).copied().unwrap_or_default());
+        }
+        self.classes
+            .retain(|_, class| class.window_in_force(now) > 0.0);
+        let left_out = self.classes.values().filter(|class| class.window == 0.0);
+        let predecessor = left_out
+            .max_by(|a, b| a.window_in_force(now).total_cmp(&b.window_in_force(now)))
+            .cloned()
+            .unwrap_or_default();
+        for (name, window) in windows {
+            let class = self.classes.entry(name.clone());
+            let class = class.or_insert_with(|| predecessor.clone());
+            class.window = *window;
+        }
+    }
+
+    /// Updates the cells that have a ready member, as [`Cells::update`] does.
+    pub fn update(&mut self, now: Millis, ready: impl Iterator<Item = u16> + Clone) {
+        for class in self.classes.values_mut() {
+            class.cells.update(now, ready.clone(), class.window);
+        }
+    }
+
+    /// Returns the cell of a key of a class, as [`Cells::cell_of_key`] does.
+    pub fn cell_of_key(&self, now: Millis, class: &str, key: u64) -> Option<u16> {
+        let class = self.classes.get(class)?;
+        class.cells.cell_of_key(now, key, class.window)
+    }
+}
+
 /// Returns the weight of a cell for a key. A key belongs to the cell with the highest weight
 /// (rendezvous hashing with the finalizer of `SplitMix64`).
 fn rendezvous_weight(key: u64, cell: u16) -> u64 {
--- a/crates/replication/tests/cells.rs
+++ b/crates/replication/tests/cells.rs
@@ -1,8 +1,9 @@
 //! Tests of the assignment of keys to cells.
 
-use dewrun_replication::cells::{Cells, Millis};
+use dewrun_replication::cells::{Cells, CellsByClass, Millis};
 use proptest::prelude::{any, prop, prop_assert, proptest, ProptestConfig};
 use proptest::test_runner::RngSeed;
+use std::collections::{BTreeMap, BTreeSet};
 
 const WINDOW: Millis = 5_000.0;
 
@@ -69,107 +70,140 @@
     );
 }
 
+fn cells_by_class(now: Millis, windows: &[(&str, Millis)]) -> CellsByClass {
+    let mut cells = CellsByClass::default();
+    cells.set_windows(now, &by_name(windows));
+    cells
+}
+
+fn by_name(windows: &[(&str, Millis)]) -> BTreeMap<String, Millis> {
+    let windows = windows.iter().filter(|(_, window)| *window > 0.0);
+    windows
+        .map(|(name, window)| (name.to_string(), *window))
+        .collect()
+}
+
+fn cells_of_class(cells: &CellsByClass, now: Millis, class: &str) -> Vec<Option<u16>> {
+    (0..400)
+        .map(|key| cells.cell_of_key(now, class, key * 7_919))
+        .collect()
+}
+
 /// Guards against a key that runs in two cells within its window: where another class has a longer
 /// window, a cell that returned was still known, and took keys that had moved meanwhile.
 #[test]
 fn a_cell_that_returns_waits_for_the_keys_that_moved() {
-    const LONGER_WINDOW: Millis = 4.0 * WINDOW;
-    let mut cells = Cells::default();
-    cells.update(0.0, [1, 2].into_iter(), LONGER_WINDOW);
-    let before = cells_of_keys(&cells, 0.0);
-    let longer = |cells: &Cells, now, key| cells.cell_of_key(now, key, LONGER_WINDOW);
-    let key = (0..).find(|key| longer(&cells, 0.0, *key) == Some(1));
-    let key = key.expect("a key of the cell");
-    cells.update(100.0, [2].into_iter(), LONGER_WINDOW);
+    let mut cells = cells_by_class(0.0, &[("short", WINDOW), ("long", 4.0 * WINDOW)]);
+    cells.update(0.0, [1, 2].into_iter());
+    let before = cells_of_class(&cells, 0.0, "short");
+    cells.update(100.0, [2].into_iter());
     let returned_at = 200.0 + WINDOW;
-    assert!(!cells_of_keys(&cells, returned_at).contains(&Some(1)));
-    cells.update(returned_at, [1, 2].into_iter(), LONGER_WINDOW);
-    let moved = cells_of_keys(&cells, returned_at);
+    assert!(!cells_of_class(&cells, returned_at, "short").contains(&Some(1)));
+    cells.update(returned_at, [1, 2].into_iter());
+    let moved = cells_of_class(&cells, returned_at, "short");
     assert!(!moved.contains(&Some(1)) && moved.contains(&Some(u16::MAX)));
-    assert_eq!(
-        longer(&cells, returned_at, key),
-        Some(1),
-        "it has not moved"
-    );
+    let long = cells_of_class(&cells, returned_at, "long");
+    assert_eq!(long, before, "its keys have not moved");
     // A short absence meanwhile moves no key, and shortens no wait.
-    cells.update(returned_at + 10.0, [2].into_iter(), LONGER_WINDOW);
-    cells.update(returned_at + 20.0, [1, 2].into_iter(), LONGER_WINDOW);
-    assert_eq!(cells_of_keys(&cells, returned_at + WINDOW - 1.0), moved);
-    assert_eq!(cells_of_keys(&cells, returned_at + WINDOW), before);
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig { cases: 1_000, rng_seed: RngSeed::Fixed(8), ..ProptestConfig::default() })]
-
-    /// The same where two classes have different windows.
-    #[test]
-    fn a_key_has_at_most_one_ready_cell_within_the_window_of_its_class(
-        lists in prop::collection::vec((0.0f64..4_000.0, prop::collection::btree_set(0u16..4, 0..4)), 1..30),
-        key in any::<u64>(),
-    ) {
-        for window in [1_000.0, 3_000.0, 8_000.0] {
-            let mut cells = Cells::default();
-            let mut now = 0.0;
-            let mut sent: Vec<(Millis, u16)> = Vec::new();
-            for (gap, ready) in &lists {
-                cells.update(now, ready.iter().copied(), 8_000.0);
-                for at in [now, now + gap * 0.9] {
-                    if let Some(cell) = cells.cell_of_key(at, key, window).filter(|cell| ready.contains(cell)) {
-                        let moved = sent.iter().any(|(before, to)| *to != cell && at - before < window);
-                        prop_assert!(!moved, "{cell} at {at} after {:?}", sent);
-                        sent.push((at, cell));
-                    }
-                }
-                now += gap;
-            }
-        }
-    }
+    cells.update(returned_at + 10.0, [2].into_iter());
+    cells.update(returned_at + 20.0, [1, 2].into_iter());
+    let until = returned_at + WINDOW;
+    assert_eq!(cells_of_class(&cells, until - 1.0, "short"), moved);
+    assert_eq!(cells_of_class(&cells, until, "short"), before);
 }
 
 #[test]
 fn a_longer_window_of_earlier_settings_counts_until_it_has_passed() {
-    let mut cells = Cells::default();
-    cells.update(0.0, [1, 2].into_iter(), 2.0 * WINDOW);
-    let before = cells_of_keys(&cells, 10.0);
-    cells.change_window(10.0, 2.0 * WINDOW, WINDOW);
-    cells.update(10.0, [2].into_iter(), WINDOW);
+    let mut cells = cells_by_class(0.0, &[("a", 2.0 * WINDOW)]);
+    cells.update(0.0, [1, 2].into_iter());
+    let before = cells_of_class(&cells, 10.0, "a");
+    cells.set_windows(10.0, &by_name(&[("a", WINDOW)]));
+    cells.update(10.0, [2].into_iter());
     // A further change neither ends nor prolongs it.
-    cells.change_window(20.0, WINDOW, WINDOW / 2.0);
+    cells.set_windows(20.0, &by_name(&[("a", WINDOW / 2.0)]));
     let until = 10.0 + 2.0 * WINDOW;
-    assert_eq!(cells_of_keys(&cells, until - 1.0), before);
-    assert_eq!(cells_of_keys(&cells, until), vec![Some(2); before.len()]);
-    cells.update(until, [].into_iter(), 0.0);
-    assert_eq!(cells.cell_of_key(until, 1, WINDOW), None, "none is needed");
+    assert_eq!(cells_of_class(&cells, until - 1.0, "a"), before);
+    assert_eq!(
+        cells_of_class(&cells, until, "a"),
+        vec![Some(2); before.len()]
+    );
+}
+
+/// Guards against a renamed class whose keys go elsewhere within the window of its earlier name.
+#[test]
+fn a_class_with_a_new_name_takes_over_the_cells_of_one_that_is_left_out() {
+    let mut cells = cells_by_class(0.0, &[("a", WINDOW), ("b", WINDOW / 2.0)]);
+    cells.update(0.0, [1, 2].into_iter());
+    let before = cells_of_class(&cells, 0.0, "a");
+    cells.update(100.0, [2].into_iter());
+    cells.set_windows(200.0, &by_name(&[("c", WINDOW / 2.0)]));
+    cells.update(200.0, [2].into_iter());
+    assert_eq!(cells_of_class(&cells, 99.0 + WINDOW, "c"), before);
+    assert_eq!(cells_of_class(&cells, 200.0, "a"), before);
+}
+
+/// Sends a key of a class if it has a ready cell, and returns whether it has none in another one within
+/// the window in which it was sent.
+fn send_once(
+    cells: &CellsByClass,
+    (now, class, window): (Millis, &str, Millis),
+    key: u64,
+    ready: &BTreeSet<u16>,
+    sent: &mut Vec<(Millis, Millis, u16)>,
+) -> bool {
+    let cell = cells.cell_of_key(now, class, key);
+    let Some(cell) = cell.filter(|cell| window > 0.0 && ready.contains(cell)) else {
+        return true;
+    };
+    let has_moved = |(at, window, to): &(Millis, Millis, u16)| *to != cell && now - at < *window;
+    let is_single = !sent.iter().any(has_moved);
+    sent.push((now, window, cell));
+    is_single
 }
 
 proptest! {
     #![proptest_config(ProptestConfig { cases: 3_000, rng_seed: RngSeed::Fixed(70), ..ProptestConfig::default() })]
 
     /// Within the window in which a key was sent it has at most one ready cell, whatever a series of
-    /// reloads makes of the window and the cells.
+    /// reloads makes of the cells and of the windows of two classes.
     #[test]
     fn a_key_has_at_most_one_ready_cell_within_a_window_over_reloads(
         reloads in prop::collection::vec(
-            (0.0f64..4_000.0, prop::collection::btree_set(0u16..4, 0..4), 0usize..4), 1..30),
+            (0.0f64..4_000.0, prop::collection::btree_set(0u16..4, 0..4), 0usize..4, 0usize..4), 1..30),
         key in any::<u64>(),
     ) {
         const WINDOWS: [Millis; 4] = [0.0, 1_000.0, 3_000.0, 8_000.0];
-        let mut cells = Cells::default();
+        let mut cells = CellsByClass::default();
         let mut now = 0.0;
-        let mut window = 0.0;
-        let mut sent: Vec<(Millis, Millis, u16)> = Vec::new();
-        for (gap, ready, next) in reloads {
-            cells.change_window(now, window, WINDOWS[next]);
-            window = WINDOWS[next];
-            cells.update(now, ready.iter().copied(), window);
+        let mut sent = [Vec::new(), Vec::new()];
+        for (gap, ready, a, b) in reloads {
+            let windows = [("a", WINDOWS[a]), ("b", WINDOWS[b])];
+            cells.set_windows(now, &by_name(&windows));
+            cells.update(now, ready.iter().copied());
             for at in [now, now + gap * 0.9] {
-                if window == 0.0 {
-                    continue;
+                for ((class, window), sent) in windows.iter().zip(&mut sent) {
+                    prop_assert!(send_once(&cells, (at, class, *window), key, &ready, sent), "{class} at {at}: {sent:?}");
                 }
-                if let Some(cell) = cells.cell_of_key(at, key, window).filter(|cell| ready.contains(cell)) {
-                    let moved = sent.iter().any(|(before, window, to)| *to != cell && at - before < *window);
-                    prop_assert!(!moved, "{cell} at {at}, window {window}, after {:?}", sent);
-                    sent.push((at, window, cell));
+            }
+            now += gap;
+        }
+    }
+
+    /// The same without reloads, for three classes.
+    #[test]
+    fn a_key_has_at_most_one_ready_cell_within_the_window_of_its_class(
+        lists in prop::collection::vec((0.0f64..4_000.0, prop::collection::btree_set(0u16..4, 0..4)), 1..30),
+        key in any::<u64>(),
+    ) {
+        let windows = [("a", 1_000.0), ("b", 3_000.0), ("c", 8_000.0)];
+        let mut cells = cells_by_class(0.0, &windows);
+        let mut now = 0.0;
+        let mut sent = [Vec::new(), Vec::new(), Vec::new()];
+        for (gap, ready) in lists {
+            cells.update(now, ready.iter().copied());
+            for at in [now, now + gap * 0.9] {
+                for ((class, window), sent) in windows.iter().zip(&mut sent) {
+                    prop_assert!(send_once(&cells, (at, class, *window), key, &ready, sent), "{class} at {at}: {sent:?}");
                 }
             }
             now += gap;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -11,6 +11,7 @@
 mod pool;
 mod request_guard;
 
+use carry_over::cell_windows;
 pub use carry_over::CarriedState;
 use clock::Clock;
 use log::Unserved;
@@ -28,7 +29,7 @@
 use dewrun_balancer::Balancer;
 use dewrun_balancer::*;
 use dewrun_discovery::Mode;
-use dewrun_replication::cells::Cells;
+use dewrun_replication::cells::CellsByClass;
 use hyper::StatusCode;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
@@ -69,7 +70,7 @@
     subscription_task: Option<SupervisedTask>,
     unserved: Unserved,
     /// Groups of pool members; all processes of a fleet send a keyed request to the same group.
-    cells: Cells,
+    cells: CellsByClass,
 }
 
 /// Source of the endpoint list.
@@ -110,9 +111,8 @@
     must_subscribe: bool,
     classes: Vec<String>,
     retry_windows: Vec<RetryWindow>,
-    /// Deduplication window of each class whose retries are deduplicated by a cell alone; set only
-    /// in a fleet.
-    cell_windows: Vec<Option<Millis>>,
+    /// Whether the retries of each class are deduplicated by a cell alone; only in a fleet.
+    bound_to_cell: Vec<bool>,
     max_attempts: u32,
     max_open_requests: usize,
     probe_path: &'static str,
@@ -128,14 +128,18 @@
     pub fn start(options: DriverOptions, upstream: Rc<Upstream>) -> Rc<Driver> {
         let settings = options.settings;
         let is_in_fleet = options.fleet.is_some();
-        let cell_windows = settings
+        let bound_to_cell = settings
             .classes
             .iter()
-            .map(|class| cell_window(class).filter(|_| is_in_fleet))
+            .map(|class| is_in_fleet && cell_window(class).is_some())
             .collect();
+        let CarriedState { clock, mut cells } = options.carried;
+        if is_in_fleet {
+            cells.set_windows(clock.now(), &cell_windows(&settings));
+        }
         let driver = Rc::new_cyclic(|me| Driver {
             me: me.clone(),
-            clock: options.carried.clock,
+            clock,
             upstream,
             membership: Cell::new(options.membership),
             name: settings.service.clone(),
@@ -147,7 +151,7 @@
                 .map(|class| class.name.clone())
                 .collect(),
             retry_windows: settings.classes.iter().map(RetryWindow::of).collect(),
-            cell_windows,
+            bound_to_cell,
             max_attempts: settings.permissions.max_attempts.min(u32::from(u8::MAX)),
             max_open_requests: options
                 .max_open_requests
@@ -171,7 +175,7 @@
                 list_version: Some(options.initial_list.index),
                 subscription_task: None,
                 unserved: Unserved::default(),
-                cells: options.carried.cells,
+                cells,
             }),
         });
         if let Some(fleet) = &driver.fleet {
@@ -311,15 +315,17 @@
 
     /// Updates the set of cells that have a ready member.
     fn update_cells(&self, state: &mut State) {
-        let max_window = self
-            .cell_windows
-            .iter()
-            .flatten()
-            .copied()
-            .fold(0.0, f64::max);
-        state
-            .cells
-            .update(self.clock.now(), state.directory.ready_cells(), max_window);
+        let ready: Vec<u16> = state.directory.ready_cells().collect();
+        state.cells.update(self.clock.now(), ready.iter().copied());
+    }
+
+    fn is_bound_to_cell(&self, class: u8) -> bool {
+        self.bound_to_cell.get(usize::from(class)) == Some(&true)
+    }
+
+    fn cell_of_key(&self, state: &State, class: u8, key: u64) -> Option<u16> {
+        let name = self.classes.get(usize::from(class))?;
+        state.cells.cell_of_key(self.clock.now(), name, key)
     }
 
     /// Accepts a request. Returns `None` if this proxy has as many open requests as it can, or is
@@ -368,16 +374,14 @@
             left_ms = ttl.as_millis() as u64
         );
         state.open_requests.insert(id, open_request);
-        let window = self
-            .cell_windows
-            .get(usize::from(attributes.class))
-            .copied()
-            .flatten();
-        let of_key = |(key, window)| state.cells.cell_of_key(self.clock.now(), key, window);
+        let cell = attributes
+            .key
+            .filter(|_| self.is_bound_to_cell(attributes.class))
+            .and_then(|key| self.cell_of_key(state, attributes.class, key));
         let event = Event::Request {
             id,
             key: attributes.key,
-            cell: attributes.key.zip(window).and_then(of_key),
+            cell,
             class: attributes.class,
             tenant: attributes.tenant,
             hint_ms: attributes.hint_ms,
--- a/src/net/driver/carry_over.rs
+++ b/src/net/driver/carry_over.rs
@@ -13,44 +13,39 @@
 use super::clock::Clock;
 use super::{cell_window, Driver};
 use dewrun_balancer::{Millis, Settings};
-use dewrun_replication::cells::Cells;
+use dewrun_replication::cells::CellsByClass;
+use std::collections::BTreeMap;
 
 /// The state of a driver that the one which replaces it needs.
 pub struct CarriedState {
     /// The clock of the times in the state.
     pub(super) clock: Clock,
-    pub(super) cells: Cells,
+    pub(super) cells: CellsByClass,
 }
 
 impl Default for CarriedState {
     fn default() -> CarriedState {
         CarriedState {
             clock: Clock::new(),
-            cells: Cells::default(),
+            cells: CellsByClass::default(),
         }
     }
 }
 
 impl Driver {
-    /// Returns the state for a driver that replaces this one with other settings.
-    pub fn carried_state(&self, settings: &Settings) -> CarriedState {
-        let now = self.clock.now();
-        let mut cells = self.state.borrow().cells.clone();
-        for (name, before) in self.classes.iter().zip(&self.cell_windows) {
-            if let Some(before) = before {
-                cells.change_window(now, *before, window_of_class(settings, name));
-            }
-        }
+    /// Returns the state for a driver that replaces this one.
+    pub fn carried_state(&self) -> CarriedState {
         CarriedState {
             clock: self.clock,
-            cells,
+            cells: self.state.borrow().cells.clone(),
         }
     }
 }
 
-/// Returns the deduplication window of the keys that settings bind to cells in a class; 0 if there
-/// is none.
-fn window_of_class(settings: &Settings, name: &str) -> Millis {
-    let classes = settings.classes.iter().filter(|class| class.name == name);
-    classes.filter_map(cell_window).fold(0.0, Millis::max)
+/// Returns the deduplication window of each class whose keys settings bind to a cell.
+pub(super) fn cell_windows(settings: &Settings) -> BTreeMap<String, Millis> {
+    let classes = settings.classes.iter();
+    classes
+        .filter_map(|class| Some((class.name.clone(), cell_window(class)?)))
+        .collect()
 }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -102,7 +102,7 @@
             max_open_requests: context.limits.clients.max(),
             fleet: context.fleet.clone(),
             carried: previous.map_or_else(CarriedState::default, |previous| {
-                previous.driver.carried_state(&settings)
+                previous.driver.carried_state()
             }),
         };
         let superseded = previous.map(|previous| {
--- a/tests/installation/carry_over.rs
+++ b/tests/installation/carry_over.rs
@@ -11,16 +11,18 @@
     Members,
     Tenant,
     Class,
+    ClassName,
     Window,
     PoolKey,
     Route,
     Listener,
 }
 
-const CHANGES: [Change; 7] = [
+const CHANGES: [Change; 8] = [
     Change::Members,
     Change::Tenant,
     Change::Class,
+    Change::ClassName,
     Change::Window,
     Change::PoolKey,
     Change::Route,
@@ -46,15 +48,16 @@
     format!(
         "[instance]\nname = \"{name}\"\n[fleet]\nname = \"prairie\"\naddress = \"{own}\"\nmembers = [\"{voter}\"]\n\
          {listener}[[pool]]\nname = \"main\"\nwarm_up = \"0s\"\nattempts = {attempts}\nmembers = [{members}]\n\
-         [[class]]\nname = \"order\"\neffect = \"keyed\"\nwindow = \"{window}\"\nscope = \"cell\"\naim = \"{aim}\"\n\
+         [[class]]\nname = \"{class}\"\neffect = \"keyed\"\nwindow = \"{window}\"\nscope = \"cell\"\naim = \"{aim}\"\n\
          [[tenant]]\nname = \"acme\"\nrate = {rate}\n\
-         [[route]]\npool = \"main\"\nclass = \"order\"\ntenant = {{ header = \"X-Account\" }}\n{route}",
+         [[route]]\npool = \"main\"\nclass = \"{class}\"\ntenant = {{ header = \"X-Account\" }}\n{route}",
         listener = changed(
             Change::Listener,
             "",
             "[[listener]]\nname = \"second\"\naddress = \"127.0.0.1:1\"\n"
         ),
         attempts = changed(Change::PoolKey, "3", "2"),
+        class = changed(Change::ClassName, "order", "orders"),
         window = changed(Change::Window, "20s", "1s"),
         aim = changed(Change::Class, "500ms", "600ms"),
         rate = changed(Change::Tenant, "200", "250"),
