Show that responses which end with their connection are refused; list it as known

A GET is sent up to five times and gets 503, a POST gets 502.

Tests play each way in which a response tells its end (length, chunks, close), buffered and streamed, complete and cut off by a reset or a close.

The stand-in's reset sent the end of the stream before the reset, which a reader takes for the end of a body without a length. It is a reset alone now, also for the tests that used it before.

--- a/crates/test-support/src/faults.rs
+++ b/crates/test-support/src/faults.rs
@@ -1,5 +1,6 @@
 //! Faulty endpoints, an endpoint that records arrival times, and a listener with a full backlog.
 
+use crate::response_script::reset_on_close;
 use crate::{listen, ok, Backend};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -38,7 +39,7 @@
             Fault::Silent => Backend::start(|_, _| true),
             Fault::ResetAfter(bytes, text) => Backend::start(move |_, stream| {
                 let _ = stream.write_all(&text.as_bytes()[..bytes.min(text.len())]);
-                reset(stream);
+                reset_on_close(stream);
                 false
             }),
             Fault::Trickle(text, part_bytes, delay) => Backend::start(move |_, stream| {
@@ -55,14 +56,6 @@
     }
 }
 
-/// Closes a connection with a reset. A reset may discard what was written just before, so it is
-/// delayed by 20 ms.
-fn reset(stream: &TcpStream) {
-    thread::sleep(Duration::from_millis(20));
-    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
-    let _ = stream.shutdown(std::net::Shutdown::Both);
-}
-
 fn early(text: String) -> Backend {
     let (listener, address) = listen();
     thread::spawn(move || {
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `links` | the network between the processes of a fleet, with faults |
 //! | `malformed` | messages with a byte that makes them malformed |
 //! | `mutation` | senders of malformed packets, texts and files |
+//! | `response_script` | responses that are framed, paced and ended in each way |
 //! | `unread` | clients that send more than is read, and endpoints that fail meanwhile |
 //! | `golden`, `wait` | comparison with golden files; waiting for a condition |
 //!
@@ -33,6 +34,7 @@
 mod message;
 mod mutation;
 mod proxy;
+mod response_script;
 mod unread;
 mod wait;
 
@@ -49,5 +51,6 @@
 pub use message::Message;
 pub use mutation::{mutation_count, Mutator};
 pub use proxy::{config, spawn, Proxy};
+pub use response_script::{ResponseEnd, ResponseFraming, ResponseScript};
 pub use unread::{endpoints_that_turn_one_away, fill_connection};
 pub use wait::{until, WAIT_TIMEOUT};
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -5,6 +5,7 @@
 mod malformed;
 mod memory;
 mod request_ids;
+mod response_ends;
 mod service;
 use dewrun_test_support::*;
 use std::io::{BufReader, ErrorKind, Read, Write};
