Relay responses on the platform that end with their connection

Cause: Attempt::trusted_length took such a head for malformed, since its end could not be told from a cut-off body. A close completes the body, a reset truncates it; hyper and the socket report the two apart.

Change: a head without a length is plausible on the platform too; a length beside chunks still is not. A response that is not relayed (an error) and ends with its connection is not read further, as neither its body nor its connection can be used.

--- a/src/net/attempts/response.rs
+++ b/src/net/attempts/response.rs
@@ -86,6 +86,10 @@
         let Some(length) = self.trusted_length(&head) else {
             return verdict.ended(verdict.outcome_if_truncated);
         };
+        if !verdict.is_forwarded && ends_with_connection(&head, length) {
+            // Neither the body nor the connection can be used.
+            return verdict.ended(verdict.outcome);
+        }
         let is_empty = body.is_end_stream() || self.client_request.method == Method::HEAD;
         let mut first = Bytes::new();
         let mut first_reservation = None;
@@ -158,14 +162,14 @@
         }
     }
 
-    /// Returns the length of a response if its head is plausible. On the platform a body must not
-    /// end with the connection, since that cannot be told from a cut-off body.
+    /// Returns the length of a response if its head is plausible. On the platform chunks exclude a
+    /// `Content-Length`. A body with neither is complete if the connection is closed, and truncated
+    /// if it is reset.
     fn trusted_length(&self, head: &Head) -> Option<BodyLength> {
         let length = body_length(&head.headers)?;
-        let has = |name| head.headers.contains_key(name);
         let is_plausible = match length {
             BodyLength::Known(length) => length <= MAX_BODY_BYTES,
-            BodyLength::Unknown => has(header::TRANSFER_ENCODING) && !has(header::CONTENT_LENGTH),
+            BodyLength::Unknown => !head.headers.contains_key(header::CONTENT_LENGTH),
         };
         (self.is_http() || is_plausible).then_some(length)
     }
@@ -223,6 +227,11 @@
     }
 }
 
+/// Returns whether a body of this length ends with its connection.
+fn ends_with_connection(head: &Head, length: BodyLength) -> bool {
+    length == BodyLength::Unknown && !head.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns the result of an attempt with a complete response.
 fn answered(verdict: Verdict, response: EndpointResponse, at: Instant) -> AttemptOutcome {
     if !verdict.is_forwarded {
