Let no streamed response look complete whose sender is gone

A client that read nothing for 10 s (platform) or caller_idle (installation) within a long response, and then read on, got a cut response that looked complete: the proxy had ended the chunks. Plays of real processes before, 20 MB, the client rests 13 s: 2.8 MB and the last chunk, with an endpoint that sends chunks (platform, installation) and one whose response ends with its connection (installation); with a length the client could tell.

Cause: the end of a streamed body was the end of its channel, so each path that drops the sender ended the body: a client that reads too late, a cancelled attempt, a driver that is gone. Truncation had to be sent on purpose.

Change: the end of a body is a message of its own (ResponsePart::End). A channel that ends without it is a truncated body, for whatever reason, and the client's connection is closed without the last chunk.

--- a/crates/test-support/src/client.rs
+++ b/crates/test-support/src/client.rs
@@ -1,9 +1,13 @@
 //! The client side: requests in the form that the platform uses, and connections to send them on.
 
 use crate::{Message, WAIT_TIMEOUT};
+use socket2::{Domain, Socket, Type};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 
+/// The receive buffer of a client that holds little of a response.
+const SMALL_BUFFER_BYTES: usize = 4 * 1024;
+
 /// Returns the text of a request of a class, with a method, a key and a length that fit the class:
 /// `read` is a GET without a body, `keyed` carries an idempotency key.
 pub fn request_text(class: &str, id: &str, timeout_ms: u32, body: &str) -> String {
@@ -36,6 +40,24 @@
     stream
 }
 
+/// Opens a client connection whose system holds little of a response that is not read, and writes a
+/// request to it.
+pub fn send_request_with_small_buffer(address: SocketAddr, request: &str) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket
+        .set_recv_buffer_size(SMALL_BUFFER_BYTES)
+        .expect("a small buffer");
+    socket.connect(&address.into()).expect("connecting");
+    let mut stream = TcpStream::from(socket);
+    stream
+        .set_read_timeout(Some(WAIT_TIMEOUT))
+        .expect("setting the read timeout");
+    stream
+        .write_all(request.as_bytes())
+        .expect("writing the request");
+    stream
+}
+
 /// Reads the next response on a connection; returns `None` at the end of the connection.
 pub fn read_response(stream: &TcpStream) -> Option<Message> {
     Message::read(&mut BufReader::new(
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -38,7 +38,9 @@
 mod unread;
 mod wait;
 
-pub use client::{read_response, request_text, send_request, try_call};
+pub use client::{
+    read_response, request_text, send_request, send_request_with_small_buffer, try_call,
+};
 pub use daemon::{free_address, free_addresses, resident_kib_of, Daemon, Folder, Process};
 pub use discovery::{entry, list, Discovery};
 pub use endpoint::{listen, ok, stop_listening, Backend};
--- a/src/net/attempts/exchange.rs
+++ b/src/net/attempts/exchange.rs
@@ -1,6 +1,6 @@
 //! One exchange with an endpoint: the response head, and the body buffered or streamed.
 
-use crate::net::stream::{ChunkSender, OutboundBody, TruncatedMessage};
+use crate::net::stream::{OutboundBody, PartSender, ResponsePart};
 use crate::net::upstream::{
     classify_protocol_end, AttemptTimes, ClientRequest, EndpointConnection, RequestBody,
     ResponseTimeouts, Reuse,
@@ -146,7 +146,7 @@
     pub(super) async fn stream_body(
         &mut self,
         body: &mut Incoming,
-        to: &ChunkSender,
+        to: &PartSender,
         counted_bytes: usize,
         times: ResponseTimeouts,
     ) -> StreamResult {
@@ -182,11 +182,13 @@
             match part {
                 Ok(Some(data)) => {
                     bytes += data.len();
-                    permit.send(Ok(data));
+                    permit.send(ResponsePart::Data(data));
+                }
+                Ok(None) => {
+                    permit.send(ResponsePart::End);
+                    return streamed;
                 }
-                Ok(None) => return streamed,
                 Err(failure) => {
-                    permit.send(Err(TruncatedMessage));
                     streamed.failure = Some(match failure {
                         BodyFailure::Truncated => Outcome::Reset,
                         BodyFailure::Stalled => Outcome::Timeout,
--- a/src/net/attempts/response.rs
+++ b/src/net/attempts/response.rs
@@ -7,7 +7,7 @@
     Body, ResourceReservation, MAX_BODY_BYTES, RELAYED_RESPONSE_IDLE_TIMEOUT,
     UNRELAYED_RESPONSE_IDLE_TIMEOUT,
 };
-use crate::net::stream::{ResponseBody, StreamedResponseBody};
+use crate::net::stream::{ResponseBody, ResponsePart, StreamedResponseBody};
 use crate::net::upstream::{AttemptOutcome, EndpointResponse, UpstreamProtocol};
 use bytes::{Bytes, BytesMut};
 use dewrun_balancer::{Outcome, Report};
@@ -124,12 +124,14 @@
         (hooks.begin_response)(EndpointResponse::new(head, length, streamed_body));
         if !first.is_empty() {
             // The channel is empty, so this cannot fail.
-            let _ = to.try_send(Ok(first));
+            let _ = to.try_send(ResponsePart::Data(first));
         }
         let counted = self.upstream.limits.max_buffered_body_bytes;
         let streamed = exchange
             .stream_body(&mut body, &to, counted, self.upstream.response_timeouts)
             .await;
+        // The client need not wait until the connection has returned to the pool.
+        drop(to);
         // The client may have read the first bytes late.
         drop(first_reservation);
         if streamed.failure.is_none() {
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -18,9 +18,9 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, Instant, Sleep};
 
-/// Maximum number of chunks of a response that wait for the client. Each has the size of one read
+/// Maximum number of parts of a response that wait for the client. Each has the size of one read
 /// from the endpoint's connection.
-const MAX_QUEUED_CHUNKS: usize = 2;
+const MAX_QUEUED_PARTS: usize = 2;
 
 /// Error of a message that ends before it is complete. The connection that carries the message is
 /// closed, so that its reader can tell.
@@ -218,21 +218,31 @@
     }
 }
 
-/// Sender of the chunks of a response.
-pub type ChunkSender = mpsc::Sender<Result<Bytes, TruncatedMessage>>;
+/// A part of a streamed response.
+#[derive(Debug)]
+pub enum ResponsePart {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The body is complete.
+    End,
+}
+
+/// Sender of the parts of a response. A response whose sender is dropped before
+/// [`ResponsePart::End`] is truncated, for whatever reason.
+pub type PartSender = mpsc::Sender<ResponsePart>;
 
 /// Body of a response that is streamed from an endpoint.
 pub struct StreamedResponseBody {
-    chunks: mpsc::Receiver<Result<Bytes, TruncatedMessage>>,
+    parts: mpsc::Receiver<ResponsePart>,
     remaining: Option<u64>,
-    is_broken: bool,
+    is_truncated: bool,
     is_complete: Rc<Cell<bool>>,
 }
 
 impl StreamedResponseBody {
-    /// Creates a body of a length, and the sender of its chunks.
-    pub fn new(length: BodyLength) -> (ChunkSender, StreamedResponseBody) {
-        let (sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
+    /// Creates a body of a length, and the sender of its parts.
+    pub fn new(length: BodyLength) -> (PartSender, StreamedResponseBody) {
+        let (sender, parts) = mpsc::channel(MAX_QUEUED_PARTS);
         let remaining = match length {
             BodyLength::Known(bytes) => Some(bytes),
             BodyLength::Unknown => None,
@@ -240,9 +250,9 @@
         (
             sender,
             StreamedResponseBody {
-                chunks,
+                parts,
                 remaining,
-                is_broken: false,
+                is_truncated: false,
                 is_complete: Rc::default(),
             },
         )
@@ -253,6 +263,36 @@
     pub fn completion_flag(&self) -> Rc<Cell<bool>> {
         self.is_complete.clone()
     }
+
+    fn poll_part(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedMessage>>> {
+        if self.is_truncated {
+            return Poll::Ready(Some(Err(TruncatedMessage)));
+        }
+        match ready!(self.parts.poll_recv(cx)) {
+            Some(ResponsePart::Data(data)) => {
+                self.remaining = self
+                    .remaining
+                    .map(|remaining| remaining.saturating_sub(data.len() as u64));
+                self.is_complete.set(self.remaining == Some(0));
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
+            Some(ResponsePart::End) => {
+                self.is_complete.set(true);
+                Poll::Ready(None)
+            }
+            // hyper drops unwritten data when a body fails. With the error delayed by one turn,
+            // hyper writes that data first: otherwise a client would get nothing of a response that
+            // was read together with its premature end.
+            None => {
+                self.is_truncated = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+        }
+    }
 }
 
 /// Body of a response of an endpoint.
@@ -289,32 +329,7 @@
             ClientResponseBody::Buffered(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|infallible| match infallible {}),
-            ClientResponseBody::Streamed(body_stream, _) => {
-                if body_stream.is_broken {
-                    return Poll::Ready(Some(Err(TruncatedMessage)));
-                }
-                let chunk = ready!(body_stream.chunks.poll_recv(cx));
-                match &chunk {
-                    Some(Ok(chunk)) => {
-                        body_stream.remaining = body_stream
-                            .remaining
-                            .map(|remaining| remaining.saturating_sub(chunk.len() as u64));
-                        body_stream
-                            .is_complete
-                            .set(body_stream.remaining == Some(0));
-                    }
-                    // hyper drops unwritten data when a body fails. With the error delayed by one
-                    // turn, hyper writes that data first: otherwise a client would get nothing of a
-                    // response that was read together with its premature end.
-                    Some(Err(TruncatedMessage)) => {
-                        body_stream.is_broken = true;
-                        cx.waker().wake_by_ref();
-                        return Poll::Pending;
-                    }
-                    None => body_stream.is_complete.set(true),
-                }
-                Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            ClientResponseBody::Streamed(body_stream, _) => body_stream.poll_part(cx),
         }
     }
 
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -7,6 +7,7 @@
 mod request_ids;
 mod response_ends;
 mod service;
+mod slow_readers;
 use dewrun_test_support::*;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
