Keep a connection while the end of a response waits for its client

Cause: a request ends for its connection when hyper has taken the last chunk of its response, before that is written. The connection then counted as idle, and a close drops what hyper holds.

Change: a connection is busy while a part of a response waits to be written: it is not idle, not overdue, not evicted and not closed for a drain. In place of the accident that ended it, a client that reads nothing of a waiting response for response_idle (10 s on the platform, as for streams; caller_idle in an installation) is disconnected. That holds within a stream too, where the connection of such a client stayed open for as long as the client did.

--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -181,6 +181,7 @@
     ClientTimeouts {
         request: config.limits.head_timeout,
         idle: config.limits.client_idle_timeout,
+        response_idle: config.limits.client_idle_timeout,
         shutdown: config.limits.shutdown_timeout,
         linger: LINGER_TIMEOUT,
     }
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -65,11 +65,20 @@
         }
     }
 
-    /// Whether the connection can be closed without losing a request: no byte of one was read or
-    /// waits to be read.
+    /// Whether a request is in progress, or a part of its response waits until the client reads.
+    pub(super) fn is_busy(&self) -> bool {
+        self.has_request_in_progress.get() || self.socket.is_write_blocked()
+    }
+
+    /// Whether a part of a response waits to be written, and the client has read nothing for `limit`.
+    pub(super) fn is_response_stalled(&self, limit: Duration) -> bool {
+        self.socket.is_write_blocked() && self.socket.last_written().elapsed() >= limit
+    }
+
+    /// Whether the connection can be closed without losing a request or a part of a response: no
+    /// byte of a request was read or waits to be read, and none of a response waits to be written.
     pub(super) fn is_idle(&self) -> bool {
-        let is_between_requests =
-            !self.has_request_in_progress.get() && self.socket.message_started_at().is_none();
+        let is_between_requests = !self.is_busy() && self.socket.message_started_at().is_none();
         is_between_requests
             && self.close_request.get() == CloseRequest::None
             && self.socket.is_idle()
@@ -83,7 +92,7 @@
         } else {
             Some(self.last_used.get())
         };
-        !self.has_request_in_progress.get()
+        !self.is_busy()
             && !self.is_reading_body.get()
             && waiting_since.is_some_and(|since| since.elapsed() >= limit)
     }
--- a/src/net/client/eviction.rs
+++ b/src/net/client/eviction.rs
@@ -27,9 +27,7 @@
         }
         let candidates: Vec<&Rc<ClientConnection>> = connections
             .values()
-            .filter(|c| {
-                !c.has_request_in_progress.get() && c.close_request.get() == CloseRequest::None
-            })
+            .filter(|c| !c.is_busy() && c.close_request.get() == CloseRequest::None)
             .collect();
         let victim = oldest_silent(&candidates)
             .or_else(|| longest_idle(&candidates, is_idle_after_one_request))
@@ -46,8 +44,7 @@
 type Victim<'a> = Option<(&'a Rc<ClientConnection>, CloseRequest)>;
 
 fn is_closing_now(connection: &ClientConnection) -> bool {
-    connection.close_request.get() == CloseRequest::Immediate
-        && !connection.has_request_in_progress.get()
+    connection.close_request.get() == CloseRequest::Immediate && !connection.is_busy()
 }
 
 fn is_silent(connection: &ClientConnection) -> bool {
--- a/src/net/client/maintenance.rs
+++ b/src/net/client/maintenance.rs
@@ -14,6 +14,7 @@
         loop {
             sleep(MAINTENANCE_INTERVAL).await;
             self.close_overdue();
+            self.close_stalled();
             self.close_idle(self.timeouts.idle);
             self.close_as_planned();
             self.release_response_memory();
@@ -38,6 +39,15 @@
         }
     }
 
+    /// Closes connections whose clients no longer read the last response.
+    fn close_stalled(&self) {
+        for connection in self.connections.borrow().values() {
+            if connection.is_response_stalled(self.timeouts.response_idle) {
+                connection.close(CloseRequest::Immediate);
+            }
+        }
+    }
+
     /// Closes the connections that the plan of a drain or shutdown closes by now.
     pub(super) fn close_as_planned(&self) {
         let to_close = self.drain.connections_to_close();
@@ -49,10 +59,11 @@
         }
     }
 
-    /// Closes all connections without a request in progress.
+    /// Closes all connections without a request in progress and without a response that waits to be
+    /// written.
     pub(super) fn close_without_request(&self) {
         for connection in self.connections.borrow().values() {
-            if !connection.has_request_in_progress.get() {
+            if !connection.is_busy() {
                 connection.close(CloseRequest::Immediate);
             }
         }
--- a/src/net/client/serve.rs
+++ b/src/net/client/serve.rs
@@ -26,6 +26,7 @@
 enum ForcedClose {
     Evicted,
     IncompleteHead,
+    StalledResponse,
 }
 
 impl ForcedClose {
@@ -33,6 +34,7 @@
         match self {
             ForcedClose::Evicted => "gives way",
             ForcedClose::IncompleteHead => "does not end",
+            ForcedClose::StalledResponse => "does not read",
         }
     }
 }
@@ -86,7 +88,10 @@
                 }
                 () = connection.close_requested.notified() => {
                     let is_immediate = connection.close_request.get() == CloseRequest::Immediate;
-                    if is_immediate && !connection.has_request_in_progress.get() {
+                    if is_immediate && connection.is_response_stalled(self.timeouts.response_idle) {
+                        return Some(ForcedClose::StalledResponse);
+                    }
+                    if is_immediate && !connection.is_busy() {
                         return Some(ForcedClose::Evicted);
                     }
                     serving.as_mut().graceful_shutdown();
@@ -94,7 +99,10 @@
                 // hyper's graceful shutdown waits without a limit for a head that does not end. A
                 // request whose head was completed in the meantime is served.
                 () = sleep(CLOSE_TIMEOUT), if connection.close_request.get() != CloseRequest::None => {
-                    if !connection.has_request_in_progress.get() {
+                    if connection.is_response_stalled(self.timeouts.response_idle) {
+                        return Some(ForcedClose::StalledResponse);
+                    }
+                    if !connection.is_busy() {
                         return Some(ForcedClose::IncompleteHead);
                     }
                 }
--- a/src/net/client/server.rs
+++ b/src/net/client/server.rs
@@ -19,6 +19,9 @@
     pub request: Duration,
     /// The idle time after which a connection is closed.
     pub idle: Duration,
+    /// The time within which the client must read some of a response that waits to be written; the
+    /// connection is closed after it.
+    pub response_idle: Duration,
     /// The time from the start of a shutdown until the requests in progress are failed.
     pub shutdown: Duration,
     /// The time for the client to read the last response on a connection that ends with unread
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -20,7 +20,7 @@
 use super::client::{ClientServer, ClientTimeouts, DrainState};
 use super::driver::{CarriedState, Driver, DriverOptions, Membership};
 use super::limits::{Limits, CLIENT_IDLE_TIMEOUT, MAX_BUFFERED_BODY_BYTES, REQUEST_HEAD_TIMEOUT};
-use super::upstream::Upstream;
+use super::upstream::{Upstream, PLATFORM_RESPONSE_TIMEOUTS};
 use crate::signals::Signals;
 use crate::supervisor::{set_restart_counter, supervisor, Supervisor};
 use dewrun_admin::{Metrics, ShutdownPlan};
@@ -247,6 +247,7 @@
     ClientTimeouts {
         request: REQUEST_HEAD_TIMEOUT,
         idle: CLIENT_IDLE_TIMEOUT,
+        response_idle: PLATFORM_RESPONSE_TIMEOUTS.client_idle,
         shutdown,
         linger: Duration::ZERO,
     }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -32,7 +32,7 @@
 const NOT_STARTED_HEADER: HeaderName = HeaderName::from_static("not-started");
 /// Timeouts on the platform, where either side may pause for long within a message; a transfer is
 /// not cut off before.
-const PLATFORM_RESPONSE_TIMEOUTS: ResponseTimeouts = ResponseTimeouts {
+pub(super) const PLATFORM_RESPONSE_TIMEOUTS: ResponseTimeouts = ResponseTimeouts {
     endpoint_idle: Duration::from_secs(8),
     client_idle: Duration::from_secs(10),
 };
--- a/tests/proxy/service.rs
+++ b/tests/proxy/service.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 /// Starts a proxy for the given endpoints that also listens at an admin address.
-fn proxy_with_admin(endpoints: &[&Backend]) -> (Proxy, SocketAddr, Discovery) {
+pub(super) fn proxy_with_admin(endpoints: &[&Backend]) -> (Proxy, SocketAddr, Discovery) {
     let names = endpoints
         .iter()
         .enumerate()
@@ -24,7 +24,7 @@
     (proxy, admin, discovery)
 }
 
-fn call_admin(admin: SocketAddr, method: &str, path: &str) -> Message {
+pub(super) fn call_admin(admin: SocketAddr, method: &str, path: &str) -> Message {
     try_call(
         admin,
         &format!("{method} {path} HTTP/1.1\r\nHost: c\r\n\r\n"),
