Let a client read a response that came before its request was read

Cause: the client's connection was closed over the unread rest of the request. The system then resets it and drops what of the answer is not yet read. An installation reads on for 2 s there; the platform did not, as requests that cross the close of an idle connection must stay unread.

Change: a connection whose last request was answered before its streamed body was read is read on, after the end of the answer, until its client stops, for as long as a client may read nothing. Other closes are as before.

--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -2,6 +2,7 @@
 
 use crate::net::io::TrackedSocket;
 use crate::net::limits::{self, ResourceReservation};
+use crate::net::upload::UploadProgress;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -35,6 +36,8 @@
     pub(super) valid_requests: Cell<u8>,
     /// The time of the accept or of the last response.
     pub(super) last_used: Cell<Instant>,
+    /// The streamed body of the last request, if it had one.
+    upload: RefCell<Option<Rc<UploadProgress>>>,
     /// The reserved memory of the last response, which may still wait to be written.
     pub(super) response_memory: RefCell<Option<limits::Body>>,
     pub(super) close_request: Cell<CloseRequest>,
@@ -58,6 +61,7 @@
             is_reading_body: Cell::new(false),
             valid_requests: Cell::new(0),
             last_used: Cell::new(Instant::now()),
+            upload: RefCell::default(),
             response_memory: RefCell::default(),
             close_request: Cell::new(CloseRequest::None),
             close_requested: Notify::new(),
@@ -111,6 +115,19 @@
             .set(self.valid_requests.get().saturating_add(1));
     }
 
+    /// Records the streamed body of the request; `None` if its body was read completely.
+    pub fn set_upload(&self, upload: Option<Rc<UploadProgress>>) {
+        self.upload.replace(upload);
+    }
+
+    /// Whether the last request was answered before its body was read.
+    pub(super) fn has_unread_upload(&self) -> bool {
+        let upload = self.upload.borrow();
+        upload
+            .as_ref()
+            .is_some_and(|upload| upload.ended_at().is_none())
+    }
+
     /// Returns the time at which the request was complete: that of its last byte, or that of the
     /// previous response if the client pipelined the request.
     pub fn request_completed_at(&self) -> Instant {
--- a/src/net/client/serve.rs
+++ b/src/net/client/serve.rs
@@ -113,11 +113,16 @@
     /// Reads and discards what the client still sends: a close with unread bytes would reset the
     /// connection before the client has read the last response.
     async fn linger(&self, connection: &ClientConnection) {
-        if self.timeouts.linger.is_zero() {
+        let limit = if connection.has_unread_upload() {
+            self.timeouts.response_idle
+        } else {
+            self.timeouts.linger
+        };
+        if limit.is_zero() {
             return;
         }
         tokio::select! {
-            _ = timeout(self.timeouts.linger, connection.socket.drain()) => {}
+            _ = timeout(limit, connection.socket.drain()) => {}
             () = connection.close_requested.notified() => {}
         }
     }
--- a/src/net/client/server.rs
+++ b/src/net/client/server.rs
@@ -25,7 +25,8 @@
     /// The time from the start of a shutdown until the requests in progress are failed.
     pub shutdown: Duration,
     /// The time for the client to read the last response on a connection that ends with unread
-    /// bytes, which an immediate close would reset.
+    /// bytes, which an immediate close would reset. If the unread bytes are the body of an answered
+    /// request, it is [`ClientTimeouts::response_idle`].
     pub linger: Duration,
 }
 
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -146,6 +146,7 @@
             response_timeout: None,
         };
         let upload = client_request.body.upload();
+        connection.set_upload(upload.clone());
         let driver = &installation.pools[route.pool].driver;
         let Some((guard, response)) = driver.request(route.attributes, client_request) else {
             return Ok(self.rejection_response(OVERLOAD_RETRY_AFTER_MS));
--- a/src/net/platform/handler.rs
+++ b/src/net/platform/handler.rs
@@ -212,6 +212,7 @@
         connection.begin_request();
         let mut request_metric = self.metrics.start_request(attributes.class);
         let upload = body.upload();
+        connection.set_upload(upload.clone());
         // The timeout starts at the request's last byte, which was the last byte read, or is yet to
         // arrive on a streamed upload.
         attributes.deadline = match upload {
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of the platform's proxy over loopback sockets.
 
 mod disconnects;
+mod early_responses;
 mod hostile;
 mod malformed;
 mod memory;
