Read what arrived of a response before a write fails

An endpoint that answers a large request early and closes its connection over the unread rest resets it.

Cause: a failed write ends hyper's connection with what is still to be read. And the system reports a reset once, to the writer or to the reader: a reader that came second would take it for the end of the stream, so that a body without a length would look complete.

Change: if a part of the response has arrived, a failed write is kept from hyper, which reads on. The end of the stream counts as a reset then, unless the write failed behind the endpoint's own close of the stream (EPIPE).

--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -96,6 +96,10 @@
     message_started_at: Cell<Option<Instant>>,
     write_blocked: Cell<bool>,
     last_written: Cell<Instant>,
+    /// How a write failed, if one has: nothing more can be written.
+    write_failure: Cell<Option<ErrorKind>>,
+    /// Whether a byte was read since a request to an endpoint was begun.
+    has_response_begun: Cell<bool>,
     written: RefCell<RequestProgress>,
 }
 
@@ -113,6 +117,8 @@
             message_started_at,
             write_blocked,
             last_written,
+            write_failure: Cell::default(),
+            has_response_begun: Cell::default(),
             written: RefCell::default(),
         })
     }
@@ -151,6 +157,7 @@
     /// Starts tracking a request with a body of `body` bytes, which is counted once it is
     /// completely written. Writing fails if its first byte has not been written by `first_byte_by`.
     pub fn begin_request(&self, body: usize, first_byte_by: Instant, counter: Counter) {
+        self.has_response_begun.set(false);
         *self.written.borrow_mut() = RequestProgress {
             body_remaining: body,
             first_byte_by: Some(first_byte_by),
@@ -186,14 +193,40 @@
         self.written.borrow().is_complete()
     }
 
+    /// Records that a write failed. Returns whether a part of the response to the request that was
+    /// being written has arrived, so that the rest may be read.
+    ///
+    /// The system reports a reset once, to the writer or to the reader: the reader would then find
+    /// the end of the stream. A reset behind the end of the stream is a `BrokenPipe`.
+    fn record_write_failure(&self, error: &std::io::Error) -> bool {
+        self.write_failure.set(Some(error.kind()));
+        self.has_response_begun.get() || (self.is_request_begun() && self.has_unread())
+    }
+
+    /// Returns whether a request to an endpoint has been begun with a first byte.
+    fn is_request_begun(&self) -> bool {
+        let written = self.written.borrow();
+        written.first_byte_by.is_some() && written.bytes > 0
+    }
+
+    /// Returns whether what looks like the end of the stream is a reset that a write has reported.
+    fn is_end_a_reset(&self) -> bool {
+        let failure = self.write_failure.get();
+        failure.is_some_and(|kind| kind != ErrorKind::BrokenPipe)
+    }
+
     /// Reads into `buffer`. Returns 0 at the end of the stream.
     fn poll_read_into(&self, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<Result<usize>> {
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read(buffer) {
+                Ok(0) if self.is_end_a_reset() => {
+                    return Poll::Ready(Err(ErrorKind::ConnectionReset.into()));
+                }
                 Ok(n) => {
                     let now = Instant::now();
                     self.last_read.set(now);
+                    self.has_response_begun.set(self.is_request_begun());
                     self.message_started_at
                         .set(self.message_started_at.get().or(Some(now)));
                     return Poll::Ready(Ok(n));
@@ -313,6 +346,10 @@
 
 impl Write for Io {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
+        if self.0.write_failure.get().is_some() {
+            // The reader goes on, and its end is that of the connection.
+            return Poll::Pending;
+        }
         loop {
             ready!(self.0.stream.poll_write_ready(cx))?;
             if self.0.is_first_byte_late() {
@@ -326,6 +363,7 @@
                     return Poll::Ready(Ok(n));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => self.0.write_blocked.set(true),
+                Err(e) if self.0.record_write_failure(&e) => return Poll::Pending,
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
--- a/tests/proxy/early_responses.rs
+++ b/tests/proxy/early_responses.rs
@@ -11,8 +11,17 @@
 /// How often each case is played, since it depends on which side of the proxy is noticed first.
 const PLAYS: usize = 20;
 
-/// Starts an endpoint that responds before it has read the request, ends the stream and reads on.
-fn endpoint(script: ResponseScript) -> SocketAddr {
+/// What an endpoint does once it has written its response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Then {
+    /// It ends the stream and reads the rest of the request.
+    EndsAndReads,
+    /// It closes the connection, which is reset as bytes are unread.
+    Closes,
+}
+
+/// Starts an endpoint that responds before it has read the request.
+fn endpoint(script: ResponseScript, then: Then) -> SocketAddr {
     let (listener, address): (TcpListener, _) = listen();
     thread::spawn(move || {
         for stream in listener.incoming() {
@@ -23,8 +32,10 @@
                 let mut start = vec![0; READ_BYTES];
                 let _ = stream.read_exact(&mut start);
                 script.write(&mut stream);
-                let _ = stream.shutdown(Shutdown::Write);
-                let _ = std::io::copy(&mut stream, &mut std::io::sink());
+                if then == Then::EndsAndReads {
+                    let _ = stream.shutdown(Shutdown::Write);
+                    let _ = std::io::copy(&mut stream, &mut std::io::sink());
+                }
             });
         }
     });
@@ -50,7 +61,7 @@
     for framing in ResponseFraming::ALL {
         for body_bytes in BODY_SIZES {
             let script = ResponseScript::complete(framing, body_bytes);
-            let (proxy, _discovery) = proxy_to(endpoint(script));
+            let (proxy, _discovery) = proxy_to(endpoint(script, Then::EndsAndReads));
             for play in 0..PLAYS {
                 let response = response_to_upload(&proxy, &format!("e{play}"));
                 assert!(
@@ -61,3 +72,23 @@
         }
     }
 }
+
+/// Guards against a complete response that is lost because the rest of the request could not be
+/// written, and against a body without a length that looks complete after such a reset.
+#[test]
+fn an_early_response_is_judged_by_what_arrived_before_the_reset() {
+    for framing in ResponseFraming::ALL {
+        let script = ResponseScript::complete(framing, BODY_SIZES[0]);
+        for play in 0..PLAYS {
+            let (proxy, _discovery) = proxy_to(endpoint(script, Then::Closes));
+            let response = response_to_upload(&proxy, "r1");
+            let is_complete = script.is_answered_by(response.as_ref());
+            if framing == ResponseFraming::UntilClose {
+                let status = response.as_ref().map(Message::status);
+                assert_eq!(status, Some(502), "{play}");
+            } else {
+                assert!(is_complete, "{play} {script:?}");
+            }
+        }
+    }
+}
