Reset the connection of an HTTP/1.0 client whose response is cut off

Cause: the proxy closes the connection of a truncated response, which tells a client that reads chunks, and no other.

Change: where the client gets no chunks, the connection of a streamed response that is not complete is reset.

The platform's client connections share the code.

--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -160,6 +160,20 @@
     }
 }
 
+/// Resets a connection if the body of its response, which ends with the connection, is truncated.
+pub(super) struct TruncationGuard {
+    pub(super) connection: Rc<ClientConnection>,
+    pub(super) is_complete: Rc<Cell<bool>>,
+}
+
+impl Drop for TruncationGuard {
+    fn drop(&mut self) {
+        if !self.is_complete.get() {
+            self.connection.socket.reset_on_close();
+        }
+    }
+}
+
 /// Marks a connection as busy until the body of its response has ended.
 pub(super) struct BusyGuard(pub(super) Rc<ClientConnection>);
 
--- a/src/net/client/serve.rs
+++ b/src/net/client/serve.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 on one client connection.
 
 use super::accept::REJECT_TIMEOUT;
-use super::connection::{BusyGuard, ClientConnection, CloseRequest};
+use super::connection::{BusyGuard, ClientConnection, CloseRequest, TruncationGuard};
 use super::responses::OVERLOAD_RESPONSE;
 use super::{ClientResponse, ClientServer, RequestHandler};
 use crate::net::limits::MAX_READ_AHEAD_BYTES;
@@ -11,7 +11,7 @@
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
+use hyper::{Request, StatusCode, Version};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -133,14 +133,20 @@
         request: Request<Incoming>,
     ) -> ClientResponse {
         connection.response_memory.take();
+        // Without chunks, a body of unknown length ends with the connection.
+        let has_chunks = request.version() > Version::HTTP_10;
         let result = self.handler.handle(connection, request).await;
         let closes = result.is_err() || self.drain.connections_to_close().with_response;
         let mut response = result.unwrap_or_else(|error| self.handler.error_response(error));
         match response.body_mut() {
             ClientResponseBody::Buffered(_) => connection.finish_request(),
-            ClientResponseBody::Streamed(_, guard) => {
+            ClientResponseBody::Streamed(body, guard) => {
+                let truncation_guard = (!has_chunks).then(|| TruncationGuard {
+                    connection: connection.clone(),
+                    is_complete: body.completion_flag(),
+                });
                 let inner = std::mem::replace(guard, Box::new(()));
-                *guard = Box::new((inner, BusyGuard(connection.clone())));
+                *guard = Box::new((inner, truncation_guard, BusyGuard(connection.clone())));
             }
         }
         if closes {
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -21,7 +21,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 
@@ -98,6 +98,8 @@
     last_written: Cell<Instant>,
     /// How a write failed, if one has: nothing more can be written.
     write_failure: Cell<Option<ErrorKind>>,
+    /// Whether the close of the connection is a reset.
+    resets_on_close: Cell<bool>,
     /// Whether a byte was read since a request to an endpoint was begun.
     has_response_begun: Cell<bool>,
     written: RefCell<RequestProgress>,
@@ -118,6 +120,7 @@
             write_blocked,
             last_written,
             write_failure: Cell::default(),
+            resets_on_close: Cell::default(),
             has_response_begun: Cell::default(),
             written: RefCell::default(),
         })
@@ -237,8 +240,19 @@
         }
     }
 
+    /// Lets the close of the connection be a reset, with no end of the stream before it: a peer that
+    /// takes the end of the stream for that of a message sees that the message is truncated.
+    pub fn reset_on_close(&self) {
+        self.resets_on_close.set(true);
+        // This fails only on a connection that the peer has closed.
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// Shuts down the sending side, then reads and discards until the peer does the same.
     pub async fn drain(&self) {
+        if self.resets_on_close.get() {
+            return;
+        }
         let _ = SockRef::from(&self.stream).shutdown(Shutdown::Write);
         // The buffer must not live across an await, or it would be a part of every connection's
         // task.
--- a/tests/installation/main.rs
+++ b/tests/installation/main.rs
@@ -11,6 +11,7 @@
 mod pools;
 mod reload;
 mod replaced;
+mod response_ends;
 mod retries;
 mod reuse;
 mod shutdown;
