Tell why responses of endpoints were not relayed completely

Change: an attempt whose response began and did not end has a cause (malformed length, cut off, stalled, unread by the client).

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -33,10 +33,12 @@
     clippy::missing_panics_doc
 )]
 
+mod incomplete;
 mod metrics;
 mod request;
 mod shutdown;
 
+pub use incomplete::{IncompleteResponse, IncompleteResponses};
 pub use metrics::{Counter, Disposition, EndpointCounts, Metrics, RequestMetric};
 pub use request::{AdminError, AdminRequest};
 pub use shutdown::{ConnectionsToClose, ShutdownPlan};
--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of one process, in Prometheus' text exposition format, version 0.0.4.
 
+use crate::incomplete::IncompleteResponses;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
 pub use prometheus_client::metrics::counter::Counter;
@@ -94,6 +95,7 @@
     results: Vec<ClassResults>,
     forwards: Counter,
     unsolicited: Counter,
+    incomplete_responses: IncompleteResponses,
     task_restarts: Counter,
     reloads_applied: Counter,
     reloads_rejected: Counter,
@@ -115,6 +117,7 @@
                 .collect(),
             forwards: Counter::default(),
             unsolicited: Counter::default(),
+            incomplete_responses: IncompleteResponses::default(),
             task_restarts: Counter::default(),
             reloads_applied: Counter::default(),
             reloads_rejected: Counter::default(),
@@ -171,6 +174,7 @@
             "Times that backends sent bytes which no request asked for",
             self.unsolicited.clone(),
         );
+        self.incomplete_responses.register(registry);
         registry.register(
             "task_restarts",
             "Times that a task of the process ended and was started again",
@@ -205,6 +209,12 @@
         self.unsolicited.clone()
     }
 
+    /// Returns the counters of responses that were not relayed completely, which the upstream side
+    /// increments.
+    pub fn incomplete_responses(&self) -> IncompleteResponses {
+        self.incomplete_responses.clone()
+    }
+
     /// Returns the counter of task restarts, which the supervisor increments.
     pub fn task_restarts(&self) -> Counter {
         self.task_restarts.clone()
--- a/crates/admin/tests/metrics.rs
+++ b/crates/admin/tests/metrics.rs
@@ -20,7 +20,8 @@
 fn all_time_series_exist_from_the_start() {
     let metrics = Metrics::new(["read", "a \"b\"\\"]);
     let lines = lines(&metrics);
-    assert_eq!(lines.len(), 2 * 3 + 9, "{lines:?}");
+    let causes = IncompleteResponse::ALL.len();
+    assert_eq!(lines.len(), 2 * 3 + 9 + causes, "{lines:?}");
     for line in [
         "svc_results_total{service=\"read\",disposition=\"succeeded\"} 0",
         "svc_results_total{service=\"a \\\"b\\\"\\\\\",disposition=\"aborted\"} 0",
@@ -30,6 +31,7 @@
         "svc_ejected 2",
         "svc_discovery_list_age 1.5",
         "svc_unsolicited_total 0",
+        "svc_incomplete_responses_total{cause=\"cut_off\"} 0",
         "svc_task_restarts_total 0",
         "svc_sighup_applied_total 0",
         "svc_sighup_rejected_total 0",
--- a/src/net/attempts/exchange.rs
+++ b/src/net/attempts/exchange.rs
@@ -6,6 +6,7 @@
     ResponseTimeouts, Reuse,
 };
 use bytes::{Bytes, BytesMut};
+use dewrun_admin::IncompleteResponse;
 use dewrun_balancer::Outcome;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -23,6 +24,15 @@
     Stalled,
 }
 
+impl BodyFailure {
+    pub(super) fn cause(self) -> IncompleteResponse {
+        match self {
+            BodyFailure::Truncated => IncompleteResponse::CutOff,
+            BodyFailure::Stalled => IncompleteResponse::Stalled,
+        }
+    }
+}
+
 /// One request and its response on one connection.
 pub(super) struct Exchange {
     pub(super) conn: EndpointConnection,
@@ -152,6 +162,7 @@
     ) -> StreamResult {
         let mut streamed = StreamResult {
             failure: None,
+            incomplete: None,
             at: Instant::now(),
             client_wait: Duration::ZERO,
         };
@@ -159,8 +170,7 @@
         loop {
             let wait_started = Instant::now();
             let Ok(Ok(permit)) = timeout(times.client_idle, to.reserve()).await else {
-                streamed.failure = Some(Outcome::Cancelled);
-                return streamed;
+                return streamed.abandoned();
             };
             let waited = wait_started.elapsed();
             let part = tokio::select! {
@@ -168,10 +178,7 @@
                 part = timeout(times.endpoint_idle, self.next_chunk(body)) => {
                     part.unwrap_or(Err(BodyFailure::Stalled))
                 }
-                () = to.closed() => {
-                    streamed.failure = Some(Outcome::Cancelled);
-                    return streamed;
-                }
+                () = to.closed() => return streamed.abandoned(),
             };
             // Neither the wait for a slow client nor the length of a long response counts as
             // latency of the endpoint.
@@ -189,6 +196,7 @@
                     return streamed;
                 }
                 Err(failure) => {
+                    streamed.incomplete = Some(failure.cause());
                     streamed.failure = Some(match failure {
                         BodyFailure::Truncated => Outcome::Reset,
                         BodyFailure::Stalled => Outcome::Timeout,
@@ -204,8 +212,21 @@
 pub(super) struct StreamResult {
     /// Outcome, if it differs from that of the head.
     pub(super) failure: Option<Outcome>,
+    /// Why the response was not relayed completely.
+    pub(super) incomplete: Option<IncompleteResponse>,
     /// Time at which the last counted byte arrived.
     pub(super) at: Instant,
     /// Time that was spent waiting for the client within the counted bytes.
     pub(super) client_wait: Duration,
 }
+
+impl StreamResult {
+    /// Returns the result of a response that its client does not read to the end.
+    fn abandoned(self) -> StreamResult {
+        StreamResult {
+            failure: Some(Outcome::Cancelled),
+            incomplete: Some(IncompleteResponse::Unread),
+            ..self
+        }
+    }
+}
--- a/src/net/attempts/response.rs
+++ b/src/net/attempts/response.rs
@@ -10,6 +10,7 @@
 use crate::net::stream::{ResponseBody, ResponsePart, StreamedResponseBody};
 use crate::net::upstream::{AttemptOutcome, EndpointResponse, UpstreamProtocol};
 use bytes::{Bytes, BytesMut};
+use dewrun_admin::IncompleteResponse;
 use dewrun_balancer::{Outcome, Report};
 use dewrun_forwarding::{body_length, BodyLength};
 use hyper::body::{Body as _, Incoming};
@@ -86,7 +87,10 @@
         let (head, mut body) = response.into_parts();
         let verdict = self.verdict(&head);
         let Some(length) = self.trusted_length(&head) else {
-            return verdict.ended(verdict.outcome_if_truncated);
+            return AttemptOutcome {
+                incomplete: Some(IncompleteResponse::MalformedLength),
+                ..verdict.ended(verdict.outcome_if_truncated)
+            };
         };
         if !verdict.is_forwarded && ends_with_connection(&head, length) {
             // Neither the body nor the connection can be used.
@@ -146,6 +150,7 @@
         AttemptOutcome {
             at: arrived_at.max(body_begun) - excluded_latency,
             report: verdict.report,
+            incomplete: streamed.incomplete,
             ..AttemptOutcome::ended_now(streamed.failure.unwrap_or(verdict.outcome))
         }
     }
@@ -213,21 +218,27 @@
         let mut read = BytesMut::new();
         let collected = exchange.collect(body, max, pause, &mut read);
         let collected = timeout_at(until.into(), collected).await;
-        let ended = match collected.unwrap_or(Err(BodyFailure::Stalled)) {
+        let failure = match collected.unwrap_or(Err(BodyFailure::Stalled)) {
             Ok(true) => return BufferResult::Complete(Body::new(read.freeze(), memory)),
             Ok(false) => return BufferResult::TooLong(read.freeze(), memory),
-            Err(BodyFailure::Truncated) => {
+            Err(failure) => failure,
+        };
+        let ended = match failure {
+            BodyFailure::Truncated => {
                 self.upstream.record_broken(self.target.endpoint);
                 verdict.ended(verdict.outcome_if_truncated)
             }
-            Err(BodyFailure::Stalled) if verdict.is_forwarded => {
+            BodyFailure::Stalled if verdict.is_forwarded => {
                 self.upstream
                     .close_idle_since(self.target.endpoint, self.started);
                 AttemptOutcome::ended_now(Outcome::Timeout)
             }
-            Err(BodyFailure::Stalled) => verdict.ended(verdict.outcome),
+            BodyFailure::Stalled => verdict.ended(verdict.outcome),
         };
-        BufferResult::Ended(Box::new(ended))
+        BufferResult::Ended(Box::new(AttemptOutcome {
+            incomplete: Some(failure.cause()),
+            ..ended
+        }))
     }
 }
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -14,7 +14,7 @@
 use carry_over::cell_windows;
 pub use carry_over::CarriedState;
 use clock::Clock;
-use log::Unserved;
+use log::{IncompleteAttempt, Unserved};
 pub use open::{FinalResponse, RequestAttributes};
 use open::{InFlightAttempt, OpenRequest, RetryWindow};
 pub use request_guard::RequestGuard;
@@ -25,6 +25,7 @@
 use super::trace::step;
 use super::upstream::{AttemptOutcome, AttemptTimes, ClientRequest, EndpointResponse, Upstream};
 use crate::supervisor::SupervisedTask;
+use dewrun_admin::IncompleteResponse;
 use dewrun_agent::{Agent, AttemptDenied, RequestBudgets, Reservation};
 use dewrun_balancer::Balancer;
 use dewrun_balancer::*;
@@ -443,9 +444,15 @@
             attempt = in_flight.attempt,
             member = state.directory.name(endpoint),
             outcome = ?result.outcome,
+            incomplete = result.incomplete.map(IncompleteResponse::text),
             took_ms
         );
         let attempt = in_flight.attempt;
+        let incomplete = result.incomplete.map(|cause| IncompleteAttempt {
+            cause,
+            request_id: open_request.id().to_string(),
+            member: state.directory.name(endpoint).to_string(),
+        });
         // This releases the reservation of the attempt, so that the next attempt can use it.
         drop(in_flight);
         open_request.record_end(sent, result.outcome, result.last_error_response);
@@ -468,6 +475,9 @@
         };
         self.handle(state, QueuedEvent::Event(event));
         Driver::forget(state, request);
+        if let Some(incomplete) = incomplete {
+            self.count_incomplete(state, incomplete);
+        }
     }
 
     /// Gives the client a response whose head has arrived and whose body is streamed.
--- a/src/net/driver/log.rs
+++ b/src/net/driver/log.rs
@@ -13,9 +13,22 @@
     pub(super) reason: Option<Outcome>,
 }
 
+/// An attempt whose response began and was not relayed completely.
+pub(super) struct IncompleteAttempt {
+    pub(super) cause: IncompleteResponse,
+    /// The id that the client chose.
+    pub(super) request_id: String,
+    /// The name of the endpoint.
+    pub(super) member: String,
+}
+
 /// Counts of requests that were not served since the last summary, by reason.
 #[derive(Default)]
 pub(super) struct Unserved {
+    /// The attempts whose response was not relayed completely.
+    incomplete: Vec<IncompleteResponse>,
+    /// The last of them.
+    last_incomplete: Option<IncompleteAttempt>,
     pub(super) rejected: [u64; UnservedReason::ALL.len()],
     pub(super) failed: [u64; UnservedReason::ALL.len()],
     /// Whether the next summary is scheduled.
@@ -46,6 +59,18 @@
         counts_of: impl Fn(&mut Unserved) -> &mut [u64; UnservedReason::ALL.len()],
     ) {
         counts_of(&mut state.unserved)[why as usize] += 1;
+        self.schedule_summary(state);
+    }
+
+    /// Counts an attempt whose response was not relayed completely, also if a later one was.
+    pub(super) fn count_incomplete(&self, state: &mut State, attempt: IncompleteAttempt) {
+        self.upstream.incomplete_responses.count(attempt.cause);
+        state.unserved.incomplete.push(attempt.cause);
+        state.unserved.last_incomplete = Some(attempt);
+        self.schedule_summary(state);
+    }
+
+    fn schedule_summary(&self, state: &mut State) {
         if std::mem::replace(&mut state.unserved.is_summary_scheduled, true) {
             return;
         }
@@ -62,9 +87,23 @@
     }
 
     fn log_unserved(&self) {
+        let unserved = std::mem::take(&mut self.state.borrow_mut().unserved);
+        if let Some(last) = &unserved.last_incomplete {
+            warn!(
+                pool = self.name,
+                causes = incomplete_text(&unserved.incomplete),
+                last_id = last.request_id,
+                last_member = last.member,
+                last_cause = last.cause.text(),
+                "responses not relayed completely in the last second"
+            );
+        }
         let Unserved {
             rejected, failed, ..
-        } = std::mem::take(&mut self.state.borrow_mut().unserved);
+        } = unserved;
+        if rejected.iter().chain(&failed).all(|count| *count == 0) {
+            return;
+        }
         let (rejected, failed) = (Unserved::text(&rejected), Unserved::text(&failed));
         warn!(
             pool = self.name,
@@ -89,3 +128,14 @@
         }
     }
 }
+
+/// Formats counts by cause, for example `3: cut_off 2, stalled 1`.
+fn incomplete_text(causes: &[IncompleteResponse]) -> String {
+    let count = |cause| causes.iter().filter(|counted| **counted == cause).count();
+    let by_cause = IncompleteResponse::ALL.map(|cause| (cause, count(cause)));
+    let counted = by_cause.iter().filter(|(_, count)| *count > 0);
+    let parts: Vec<String> = counted
+        .map(|(cause, count)| format!("{} {count}", cause.text()))
+        .collect();
+    format!("{}: {}", causes.len(), parts.join(", "))
+}
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -20,7 +20,7 @@
 use super::client::{ClientServer, ClientTimeouts, DrainState};
 use super::driver::{CarriedState, Driver, DriverOptions, Membership};
 use super::limits::{Limits, CLIENT_IDLE_TIMEOUT, MAX_BUFFERED_BODY_BYTES, REQUEST_HEAD_TIMEOUT};
-use super::upstream::{Upstream, PLATFORM_RESPONSE_TIMEOUTS};
+use super::upstream::{Upstream, UpstreamCounters, PLATFORM_RESPONSE_TIMEOUTS};
 use crate::signals::Signals;
 use crate::supervisor::{set_restart_counter, supervisor, Supervisor};
 use dewrun_admin::{Metrics, ShutdownPlan};
@@ -177,7 +177,12 @@
         settings.permissions.idle_close_ms,
         settings.report_fields.clone(),
     );
-    Rc::new(upstream.with_counters(metrics.forwards(), metrics.unsolicited()))
+    let counters = UpstreamCounters {
+        written_attempts: metrics.forwards(),
+        unsolicited: metrics.unsolicited(),
+        incomplete_responses: metrics.incomplete_responses(),
+    };
+    Rc::new(upstream.with_counters(counters))
 }
 
 fn start_driver(config: Config, limits: &Limits, upstream: &Rc<Upstream>) -> Rc<Driver> {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -10,7 +10,7 @@
 use super::stream::{ResponseBody, StreamedRequestBody};
 use super::unsolicited::UnsolicitedBytes;
 use super::upload::UploadProgress;
-use dewrun_admin::Counter;
+use dewrun_admin::{Counter, IncompleteResponse, IncompleteResponses};
 use dewrun_balancer::{EndpointId, Outcome, Report, ReportField};
 use dewrun_forwarding::BodyLength;
 use hyper::header::{HeaderMap, HeaderName};
@@ -201,6 +201,8 @@
     pub client_error: Option<StatusCode>,
     /// Failure response that another attempt may improve on; it goes to the client if none does.
     pub last_error_response: Option<EndpointResponse>,
+    /// Why a response that had begun was not relayed completely.
+    pub incomplete: Option<IncompleteResponse>,
 }
 
 impl AttemptOutcome {
@@ -214,6 +216,7 @@
             response: None,
             client_error: None,
             last_error_response: None,
+            incomplete: None,
         }
     }
 
@@ -235,10 +238,22 @@
             response,
             client_error: None,
             last_error_response,
+            incomplete: None,
         }
     }
 }
 
+/// Counters that the upstream side increments.
+#[derive(Default)]
+pub struct UpstreamCounters {
+    /// Completely written attempts.
+    pub written_attempts: Counter,
+    /// Times that an endpoint sent bytes which no request asked for.
+    pub unsolicited: Counter,
+    /// Responses that were not relayed completely.
+    pub incomplete_responses: IncompleteResponses,
+}
+
 /// Connections to all endpoints of a pool.
 pub struct Upstream {
     idle: RefCell<FxHashMap<EndpointId, Vec<IdleConnection>>>,
@@ -250,6 +265,7 @@
     report_fields: Vec<ReportField>,
     pub(super) written_attempts: Counter,
     unsolicited: UnsolicitedBytes,
+    pub(super) incomplete_responses: IncompleteResponses,
     /// When a connection to each endpoint last broke or failed, until the list tells of its endpoint
     /// again; another process may have taken its address since.
     broken_at: RefCell<FxHashMap<EndpointId, Instant>>,
@@ -277,16 +293,18 @@
             report_fields,
             written_attempts: Counter::default(),
             unsolicited: UnsolicitedBytes::default(),
+            incomplete_responses: IncompleteResponses::default(),
             broken_at: RefCell::default(),
             awaited_endpoints: RefCell::default(),
         }
     }
 
-    /// Sets the counter of completely written attempts and that of unsolicited bytes.
-    pub fn with_counters(self, written_attempts: Counter, unsolicited: Counter) -> Upstream {
+    /// Sets the counters.
+    pub fn with_counters(self, counters: UpstreamCounters) -> Upstream {
         Upstream {
-            written_attempts,
-            unsolicited: UnsolicitedBytes::with_counter(unsolicited),
+            written_attempts: counters.written_attempts,
+            unsolicited: UnsolicitedBytes::with_counter(counters.unsolicited),
+            incomplete_responses: counters.incomplete_responses,
             ..self
         }
     }
--- a/tests/proxy/service.rs
+++ b/tests/proxy/service.rs
@@ -496,6 +496,9 @@
             "svc_results_total{service=\"once\",disposition=\"aborted\"}",
         ) == 1.0
     });
+    until("its cause is counted", || {
+        metric(admin, "svc_incomplete_responses_total{cause=\"cut_off\"}") == 1.0
+    });
     assert_eq!(endpoint.request_count(), 1);
 }
 
