--- a/crates/loadtest/src/soak/stand_in.rs
+++ b/crates/loadtest/src/soak/stand_in.rs
@@ -4,7 +4,7 @@
 use super::schedule::Behavior;
 use super::Deployment;
 use crate::audit::ExecutionRecord;
-use dewrun_test_support::{listen, ok, Message};
+use dewrun_test_support::{listen, ok, Message, ResponseFraming};
 use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -18,6 +18,9 @@
 /// The step from one response time to the next, modulo [`RESPONSE_TIME_COUNT`]. The two numbers
 /// have no common factor, so that all response times occur.
 const RESPONSE_TIME_STEP_MS: u64 = 7;
+/// One of so many responses of a healthy endpoint ends by chunks, and one with its connection; the
+/// others state a length.
+const UNUSUAL_FRAMING_INTERVAL: u64 = 16;
 /// The additional response time of a slow endpoint.
 const SLOW_RESPONSE_DELAY: Duration = Duration::from_millis(300);
 /// The delay of a duplicate response on the platform, where connections stay idle for longer than
@@ -174,7 +177,7 @@
     ));
     let text = ok(id);
     match Behavior::ALL[usize::from(shared.behavior.load(Ordering::SeqCst))] {
-        Behavior::Healthy => stream.write_all(text.as_bytes()).is_ok(),
+        Behavior::Healthy => respond_framed(id, response_time_ms / RESPONSE_TIME_STEP_MS, stream),
         Behavior::ConnectionClose => false,
         Behavior::SlowResponse => {
             thread::sleep(SLOW_RESPONSE_DELAY);
@@ -188,3 +191,23 @@
         Behavior::DuplicateResponse => stream.write_all(text.repeat(2).as_bytes()).is_ok(),
     }
 }
+
+/// Writes the response with this number, whose end is told in one of three ways. Returns whether the
+/// connection stays open.
+fn respond_framed(id: &str, number: u64, stream: &mut TcpStream) -> bool {
+    let framing = match number % UNUSUAL_FRAMING_INTERVAL {
+        0 => ResponseFraming::Chunked,
+        1 => ResponseFraming::UntilClose,
+        _ => ResponseFraming::Length,
+    };
+    let text = match framing {
+        ResponseFraming::Length => ok(id),
+        ResponseFraming::Chunked => format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{id}\r\n0\r\n\r\n",
+            id.len()
+        ),
+        ResponseFraming::UntilClose => format!("HTTP/1.1 200 OK\r\n\r\n{id}"),
+    };
+    let is_written = stream.write_all(text.as_bytes()).is_ok();
+    is_written && framing != ResponseFraming::UntilClose
+}
--- a/crates/test-support/src/client.rs
+++ b/crates/test-support/src/client.rs
@@ -30,14 +30,8 @@
 
 /// Opens a client connection and writes a request to it.
 pub fn send_request(address: SocketAddr, request: &str) -> TcpStream {
-    let mut stream = TcpStream::connect(address).expect("connecting");
-    stream
-        .set_read_timeout(Some(WAIT_TIMEOUT))
-        .expect("setting the read timeout");
-    stream
-        .write_all(request.as_bytes())
-        .expect("writing the request");
-    stream
+    let stream = TcpStream::connect(address).expect("connecting");
+    with_request(stream, request)
 }
 
 /// Opens a client connection whose system holds little of a response that is not read, and writes a
@@ -48,7 +42,11 @@
         .set_recv_buffer_size(SMALL_BUFFER_BYTES)
         .expect("a small buffer");
     socket.connect(&address.into()).expect("connecting");
-    let mut stream = TcpStream::from(socket);
+    with_request(TcpStream::from(socket), request)
+}
+
+/// Writes a request to a new connection.
+fn with_request(mut stream: TcpStream, request: &str) -> TcpStream {
     stream
         .set_read_timeout(Some(WAIT_TIMEOUT))
         .expect("setting the read timeout");
--- a/tests/proxy/slow_readers.rs
+++ b/tests/proxy/slow_readers.rs
@@ -82,10 +82,15 @@
     })
 }
 
+/// Reads a response of which the start was read; returns `None` if it is truncated.
+fn read_rest(client: &TcpStream) -> Option<Message> {
+    let rest = client.try_clone().expect("a second handle");
+    Message::read(&mut BufReader::new(START_OF_SERVED.chain(rest)))
+}
+
 fn check_all_complete(clients: &[TcpStream], scripts: &[ResponseScript]) {
     for (client, script) in clients.iter().zip(scripts) {
-        let rest = BufReader::new(client.try_clone().expect("a second handle"));
-        let response = Message::read(&mut BufReader::new(START_OF_SERVED.chain(rest)));
+        let response = read_rest(client);
         assert!(script.is_answered_by(response.as_ref()), "{script:?}");
     }
 }
@@ -161,8 +166,7 @@
     let clients = send_requests(proxy.address, &scripts);
     thread::sleep(REST);
     for (client, script) in clients.iter().zip(scripts) {
-        let rest = BufReader::new(client.try_clone().expect("a second handle"));
-        let response = Message::read(&mut BufReader::new(START_OF_SERVED.chain(rest)));
+        let response = read_rest(client);
         assert!(response.is_none(), "{script:?}");
     }
 }
