Reset a client that reads nothing of a waiting response

A client of HTTP/1.0 that reads nothing for too long while the last bytes of a response wait is disconnected; the end of the stream would be that of the body to it. Found by reading. Its connection is reset now, as that of any truncated response without chunks is.

The new test (a chunked response of 32 MB, the client rests for 4 s of an allowed 1 s) passed before too, since there the stream itself is not complete; a play with only the last bytes waiting was not made. A comment of the same code keeps its width.

--- a/src/net/attempts/exchange.rs
+++ b/src/net/attempts/exchange.rs
@@ -68,9 +68,10 @@
     }
 
     /// Waits for the response head. Returns it if it arrives in time, and the client's deadline,
-    /// until which the body of the response may arrive. A client whose body is streamed may set its response timeout from the end
-    /// of that body; the deadline holds for the body itself. A request that is not completely
-    /// written by [`AttemptTimes::write_by`] is abandoned then, and so was not executed.
+    /// until which the body of the response may arrive. A client whose body is streamed may set its
+    /// response timeout from the end of that body; the deadline holds for the body itself. A request
+    /// that is not completely written by [`AttemptTimes::write_by`] is abandoned then, and so was not
+    /// executed.
     pub(super) async fn await_head(
         &mut self,
         request: Request<OutboundBody>,
--- a/src/net/client/serve.rs
+++ b/src/net/client/serve.rs
@@ -44,6 +44,10 @@
     /// request in progress.
     pub(super) async fn serve_connection(self: Rc<Self>, connection: Rc<ClientConnection>) {
         let forced = self.run_protocol(&connection).await;
+        if matches!(forced, Some(ForcedClose::StalledResponse)) {
+            // A client that gets no chunks would take the end of the stream for that of the body.
+            connection.socket.reset_on_close();
+        }
         // A request that arrives during a forced close gets a rejection rather than a reset.
         let has_request = connection.is_reading_body.get() || connection.socket.has_unread();
         let sends_rejection =
--- a/tests/installation/response_ends.rs
+++ b/tests/installation/response_ends.rs
@@ -3,6 +3,8 @@
 
 use super::*;
 use std::io::Read;
+use std::thread;
+use std::time::Duration;
 
 /// A size that is buffered if its length is known, and one that is streamed.
 const BODY_SIZES: [usize; 2] = [5_000, 300_000];
@@ -51,3 +53,20 @@
     let ended = send_request(installation.address, request).read_to_end(&mut text);
     (ended.is_ok(), text)
 }
+
+/// Guards against a response that looks complete to a client of HTTP/1.0 which reads nothing for too
+/// long and is disconnected.
+#[test]
+fn a_response_whose_client_stops_reading_does_not_look_complete() {
+    const UNHOLDABLE_BYTES: usize = 32 << 20;
+    const CLIENT_IDLE: &str = "[limits]\ncaller_idle = \"1s\"\n";
+    const REST: Duration = Duration::from_secs(4);
+    let script = ResponseScript::complete(ResponseFraming::Chunked, UNHOLDABLE_BYTES);
+    let endpoint = Backend::with_scripts(vec![script]);
+    let installation = Installation::start(&format!("{CLIENT_IDLE}{}", pool(&[endpoint.address])));
+    let mut client = send_request(installation.address, HTTP_10_REQUEST);
+    thread::sleep(REST);
+    let mut text = Vec::new();
+    let ended = client.read_to_end(&mut text);
+    assert!(ended.is_err(), "{} bytes", text.len());
+}
