Play endpoints that send bytes behind their responses, judged by the clients

Change: `dewrun-loadtest unsolicited` draws such plays from seeds, for installations and the platform. Each response names its request, so a client sees one that is not its own. The same play without trailers shows what sound endpoints pay. The range of seeds is read by one function for both commands.

--- a/crates/loadtest/src/lib.rs
+++ b/crates/loadtest/src/lib.rs
@@ -8,6 +8,7 @@
 //! runs fleets of real processes with faults between them. [`hollow`] runs large fleets with a few
 //! real processes and many that run the control-plane agent alone. [`soak`] runs schedules drawn
 //! from seeds against real processes and judges them by what was recorded outside of the processes.
+//! [`unsolicited`] plays endpoints that send unsolicited bytes behind their responses.
 
 pub mod audit;
 pub mod baseline;
@@ -16,3 +17,20 @@
 pub mod hollow;
 pub mod load;
 pub mod soak;
+pub mod unsolicited;
+
+use std::ops::RangeInclusive;
+
+/// Reads a range of seeds, such as `1..50`, whose ends are both included.
+///
+/// # Errors
+///
+/// Fails if the text is not such a range, or its first number exceeds the last.
+pub fn parse_seeds(text: &str) -> Result<RangeInclusive<u64>, String> {
+    let parsed = text
+        .split_once("..")
+        .and_then(|(first, last)| Some(first.parse().ok()?..=last.parse().ok()?));
+    parsed.filter(|seeds| !seeds.is_empty()).ok_or_else(|| {
+        format!("{text:?} is not a range such as 1..50, whose first number is at most the last")
+    })
+}
--- a/crates/loadtest/src/main.rs
+++ b/crates/loadtest/src/main.rs
@@ -7,6 +7,7 @@
 use dewrun_loadtest::hollow;
 use dewrun_loadtest::load::{run, Pace, Plan, Run};
 use dewrun_loadtest::soak;
+use dewrun_loadtest::{parse_seeds, unsolicited};
 use dewrun_test_support::{free_address, ok, quick, Daemon};
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -127,6 +128,10 @@
         #[arg(long, default_value = "target/release/dewrun")]
         dewrun: String,
     },
+    /// Run endpoints that send unsolicited bytes behind their responses
+    ///
+    /// Exits with 1 if a request did not get its own response in time.
+    Unsolicited(unsolicited::Options),
     /// Compare dewrun with direct requests, a byte relay and a bare forwarder, in turn
     Paths {
         /// Path of the dewrun executable
@@ -143,15 +148,6 @@
     },
 }
 
-fn parse_seeds(text: &str) -> Result<RangeInclusive<u64>, String> {
-    let parsed = text
-        .split_once("..")
-        .and_then(|(first, last)| Some(first.parse().ok()?..=last.parse().ok()?));
-    parsed.filter(|seeds| !seeds.is_empty()).ok_or_else(|| {
-        format!("{text:?} is not a range such as 1..50, whose first number is at most the last")
-    })
-}
-
 const MAX_RUN_SECONDS: u64 = 600;
 const MAX_REQUESTS: u64 = 100_000_000;
 const MAX_CLIENTS: usize = 10_000;
@@ -441,6 +437,7 @@
             println!("{}", summary_line(&run));
             ExitCode::from(u8::from(run.status_counts().contains_key(&None)))
         }
+        Command::Unsolicited(options) => ExitCode::from(u8::from(!unsolicited::run(&options))),
         Command::Paths {
             dewrun,
             clients,
