Reuse connections 25 ms after a response that was acknowledged at once

On the platform a copy 10 to 20 ms late went to the next request.

Cause: the member's system holds the copy back until the response is acknowledged, which this side's system delays by up to 40 ms or until it writes the next request: the request itself fetched the copy. And a copy some milliseconds late came after the reuse delay of 2 ms (10 ms on the platform).

Change: responses are acknowledged at once in both deployments, and the delay is 25 ms in both. Installations open another connection meanwhile, as before. While descriptors are scarce the delay is the former one, and the connection that was idle longest is taken. The lists of idle connections are deques, as taking one from the front moved all that are behind it.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -20,6 +20,7 @@
 use idle::IdleConnection;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -256,7 +257,7 @@
 
 /// Connections to all endpoints of a pool.
 pub struct Upstream {
-    idle: RefCell<FxHashMap<EndpointId, Vec<IdleConnection>>>,
+    idle: RefCell<FxHashMap<EndpointId, VecDeque<IdleConnection>>>,
     pub(super) limits: Rc<Limits>,
     pub(super) protocol: UpstreamProtocol,
     pub(super) response_timeouts: ResponseTimeouts,
--- a/src/net/upstream/idle.rs
+++ b/src/net/upstream/idle.rs
@@ -3,16 +3,19 @@
 use super::{AttemptTimes, EndpointConnection, Reuse, Upstream, UpstreamProtocol};
 use crate::net::attempts::Target;
 use dewrun_balancer::EndpointId;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
 
 /// Time that a connection stays idle after a response before it is reused: bytes that follow a
-/// response must be seen first, or they would be taken for the next response.
-const REUSE_DELAY: Duration = Duration::from_millis(2);
-/// On the platform a second response may arrive some milliseconds late, and requests take hundreds
-/// of milliseconds.
-const PLATFORM_REUSE_DELAY: Duration = Duration::from_millis(10);
+/// response must be seen first, or they would be taken for the next response. A second response may
+/// be some milliseconds late.
+const REUSE_DELAY: Duration = Duration::from_millis(25);
+/// Reuse delay of an operator's pool while descriptors are scarce, where requests take a millisecond.
+const MIN_REUSE_DELAY: Duration = Duration::from_millis(2);
+/// Reuse delay on the platform while descriptors are scarce. Requests take hundreds of milliseconds.
+const MIN_PLATFORM_REUSE_DELAY: Duration = Duration::from_millis(10);
 /// Reuse delay of an endpoint that has not earned a short one. A system delays acknowledgements by
 /// up to 40 ms, and the endpoint's system may hold a second response back for as long; the
 /// remainder allows for an endpoint that is late itself.
@@ -28,6 +31,15 @@
     since: Instant,
 }
 
+/// A wait until a connection to an endpoint may be reused.
+struct PossibleWait {
+    endpoint: EndpointId,
+    /// How long it would take.
+    remaining: Duration,
+    /// Whether the endpoint has earned a short reuse delay.
+    is_delay_short: bool,
+}
+
 /// A request that waits until a connection to an endpoint may be reused.
 struct ReuseWait<'a> {
     upstream: &'a Upstream,
@@ -46,17 +58,19 @@
 impl Upstream {
     /// Returns the time that a connection to an endpoint stays idle before it is reused.
     fn reuse_delay(&self, endpoint: EndpointId, now: Instant) -> Duration {
-        if self.unsolicited.has_earned_short_delays(endpoint, now) {
-            self.short_reuse_delay()
-        } else {
+        if !self.unsolicited.has_earned_short_delays(endpoint, now) {
             self.initial_reuse_delay()
+        } else if self.limits.upstream.has_headroom() {
+            REUSE_DELAY
+        } else {
+            self.min_reuse_delay()
         }
     }
 
-    fn short_reuse_delay(&self) -> Duration {
+    fn min_reuse_delay(&self) -> Duration {
         match self.protocol {
-            UpstreamProtocol::Http => REUSE_DELAY,
-            UpstreamProtocol::Platform => PLATFORM_REUSE_DELAY,
+            UpstreamProtocol::Http => MIN_REUSE_DELAY,
+            UpstreamProtocol::Platform => MIN_PLATFORM_REUSE_DELAY,
         }
     }
 
@@ -65,7 +79,7 @@
     fn initial_reuse_delay(&self) -> Duration {
         INITIAL_REUSE_DELAY
             .min(self.max_idle_time / 2)
-            .max(self.short_reuse_delay())
+            .max(REUSE_DELAY)
     }
 
     /// Records that an endpoint has sent unsolicited bytes, and closes its idle connections, which
@@ -75,9 +89,9 @@
         self.idle.borrow_mut().remove(&endpoint);
     }
 
-    /// Returns a connection to the pool if its endpoint's connections may be reused. On the
-    /// platform received bytes are acknowledged at once, so that a second response that the
-    /// endpoint's system holds back arrives before the connection is reused.
+    /// Returns a connection to the pool if its endpoint's connections may be reused. Received bytes
+    /// are acknowledged at once, so that a second response that the endpoint's system holds back
+    /// arrives before the connection is reused.
     pub(in crate::net) fn put_idle(
         &self,
         endpoint: EndpointId,
@@ -88,10 +102,8 @@
         if self.unsolicited.is_single_use(endpoint, now) {
             return;
         }
+        conn.socket.acknowledge();
         conn.exchanges = conn.exchanges.saturating_add(1);
-        if self.protocol == UpstreamProtocol::Platform {
-            conn.socket.acknowledge();
-        }
         let idle = IdleConnection {
             conn,
             address,
@@ -101,7 +113,7 @@
             .borrow_mut()
             .entry(endpoint)
             .or_default()
-            .push(idle);
+            .push_back(idle);
     }
 
     /// Closes the idle connections to an endpoint that was removed, restarted or moved, and forgets
@@ -137,13 +149,12 @@
         let mut idle = self.idle.borrow_mut();
         let oldest = idle
             .iter()
-            .filter_map(|(id, list)| Some((list.first()?.since, *id)))
+            .filter_map(|(id, list)| Some((list.front()?.since, *id)))
             .min();
         let Some(list) = oldest.and_then(|(_, id)| idle.get_mut(&id)) else {
             return false;
         };
-        list.remove(0);
-        true
+        list.pop_front().is_some()
     }
 
     /// Closes the idle connections to an endpoint that have carried no response since a time.
@@ -191,20 +202,26 @@
     ) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&endpoint)?;
-        list.retain(|idle| idle.address == address);
-        let reusable = list
-            .iter()
-            .rposition(|idle| idle.since.elapsed() >= reuse_delay);
+        let now = Instant::now();
+        let reusable = if self.limits.upstream.has_headroom() {
+            most_recent_reusable(list, address, reuse_delay, now)
+        } else {
+            longest_idle_reusable(list, address, reuse_delay, now)
+        };
         if let Some(reusable) = reusable {
-            return Some(list.remove(reusable));
+            return list.remove(reusable);
         }
-        let remaining = reuse_delay.saturating_sub(list.first()?.since.elapsed());
-        let time_to_write = times
-            .write_deadline()
-            .saturating_duration_since(Instant::now());
-        let should_wait = remaining <= time_to_write / 2
-            && !self.should_open_another(endpoint, times, reuse_delay);
-        should_wait.then(|| list.remove(0))
+        let is_candidate = |idle: &IdleConnection| idle.address == address;
+        let first = list.iter().position(is_candidate)?;
+        let wait = PossibleWait {
+            endpoint,
+            remaining: reuse_delay.saturating_sub(now.duration_since(list[first].since)),
+            is_delay_short: reuse_delay <= REUSE_DELAY,
+        };
+        let time_to_write = times.write_deadline().saturating_duration_since(now);
+        let should_wait =
+            wait.remaining <= time_to_write / 2 && !self.should_open_another(&wait, times);
+        should_wait.then(|| list.remove(first)).flatten()
     }
 
     /// Waits until a connection may be reused; with ordinary HTTP only until its endpoint closes
@@ -215,33 +232,32 @@
         conn: &EndpointConnection,
         remaining: Duration,
     ) {
+        let _waiting = self.begin_wait(endpoint);
         match self.protocol {
             UpstreamProtocol::Platform => sleep(remaining).await,
             UpstreamProtocol::Http => {
-                let _waiting = self.begin_wait(endpoint);
                 let _ = timeout(remaining, conn.socket.closed()).await;
             }
         }
     }
 
-    /// Returns whether to open another connection instead of waiting until one may be reused. With
-    /// ordinary HTTP one request at a time waits per endpoint: sequential requests share a
-    /// connection, and concurrent requests are not delayed while there is room for connections.
-    fn should_open_another(
-        &self,
-        endpoint: EndpointId,
-        times: AttemptTimes,
-        reuse_delay: Duration,
-    ) -> bool {
-        if self.protocol == UpstreamProtocol::Platform {
-            return false;
-        }
-        let is_short_delay = reuse_delay <= REUSE_DELAY;
-        if !is_short_delay && !times.may_wait_for_reuse {
-            return true;
+    /// Returns whether to open another connection instead of waiting until one may be reused. One
+    /// request at a time waits per endpoint: sequential requests share a connection, and concurrent
+    /// requests are not delayed while there is room for connections.
+    fn should_open_another(&self, wait: &PossibleWait, times: AttemptTimes) -> bool {
+        let is_other_waiting = self.awaited_endpoints.borrow().contains(&wait.endpoint);
+        let has_headroom = self.limits.upstream.has_headroom();
+        match self.protocol {
+            // Endpoints accept few connections, and requests take hundreds of milliseconds.
+            UpstreamProtocol::Platform => {
+                wait.is_delay_short
+                    && wait.remaining > MIN_PLATFORM_REUSE_DELAY
+                    && is_other_waiting
+                    && has_headroom
+            }
+            UpstreamProtocol::Http if !wait.is_delay_short && !times.may_wait_for_reuse => true,
+            UpstreamProtocol::Http => (wait.is_delay_short || is_other_waiting) && has_headroom,
         }
-        let is_other_waiting = self.awaited_endpoints.borrow().contains(&endpoint);
-        (is_short_delay || is_other_waiting) && self.limits.upstream.has_headroom()
     }
 
     /// Marks an endpoint as waited for, for [`Upstream::should_open_another`], until the result is
@@ -275,3 +291,27 @@
         }
     }
 }
+
+/// Returns the connection that was used last among those that may be reused. The list is in the
+/// order in which the connections became idle.
+fn most_recent_reusable(
+    list: &VecDeque<IdleConnection>,
+    address: SocketAddr,
+    reuse_delay: Duration,
+    now: Instant,
+) -> Option<usize> {
+    let rested = list.partition_point(|idle| now.duration_since(idle.since) >= reuse_delay);
+    list.range(..rested)
+        .rposition(|idle| idle.address == address)
+}
+
+/// Returns the connection that has been idle longest if it may be reused.
+fn longest_idle_reusable(
+    list: &VecDeque<IdleConnection>,
+    address: SocketAddr,
+    reuse_delay: Duration,
+    now: Instant,
+) -> Option<usize> {
+    let first = list.iter().position(|idle| idle.address == address)?;
+    (now.duration_since(list[first].since) >= reuse_delay).then_some(first)
+}
