Rest a connection whose response came too soon until the true one is due

What callers saw: once a second response had gone to the next request, each request on its connection got the response to the one before it, for as long as requests followed each other before the true response was there.

Cause: the true response always came after the next request was written, so no unread byte was there when the connection was looked at.

Change: each endpoint has a usual time to the first byte of a response, a moving average. After a response in less than half of that, on a connection that has carried another one, the connection rests until twice the usual time after its request, one second at most. The true response then comes while nothing is in flight, is seen as unsolicited, and the connection is closed. Without descriptors to spare a doubt does not count.

--- a/src/main.rs
+++ b/src/main.rs
@@ -23,6 +23,7 @@
     pub mod limits;
     pub mod platform;
     pub mod pool;
+    mod response_times;
     pub mod stream;
     pub mod trace;
     mod unsolicited;
--- a/src/net/io.rs
+++ b/src/net/io.rs
@@ -100,8 +100,8 @@
     write_failure: Cell<Option<ErrorKind>>,
     /// Whether the close of the connection is a reset.
     resets_on_close: Cell<bool>,
-    /// Whether a byte was read since a request to an endpoint was begun.
-    has_response_begun: Cell<bool>,
+    /// Time from the last byte of a request to an endpoint to the first byte that was read since.
+    response_time: Cell<Option<Duration>>,
     written: RefCell<RequestProgress>,
 }
 
@@ -121,7 +121,7 @@
             last_written,
             write_failure: Cell::default(),
             resets_on_close: Cell::default(),
-            has_response_begun: Cell::default(),
+            response_time: Cell::default(),
             written: RefCell::default(),
         })
     }
@@ -152,6 +152,20 @@
         self.last_written.get()
     }
 
+    /// Returns the time from the last byte of the request to an endpoint to the first byte of its
+    /// response; zero if the response came before. `None` if none has come.
+    pub fn response_time(&self) -> Option<Duration> {
+        self.response_time.get()
+    }
+
+    /// Records that bytes of a response to the current request were read, if there is one.
+    fn record_response(&self, now: Instant) {
+        if self.response_time.get().is_none() && self.is_request_begun() {
+            let elapsed = now.saturating_duration_since(self.last_written.get());
+            self.response_time.set(Some(elapsed));
+        }
+    }
+
     /// Returns the peer's address; `None` if the peer has disconnected.
     pub fn peer(&self) -> Option<SocketAddr> {
         self.stream.peer_addr().ok()
@@ -160,7 +174,7 @@
     /// Starts tracking a request with a body of `body` bytes, which is counted once it is
     /// completely written. Writing fails if its first byte has not been written by `first_byte_by`.
     pub fn begin_request(&self, body: usize, first_byte_by: Instant, counter: Counter) {
-        self.has_response_begun.set(false);
+        self.response_time.set(None);
         *self.written.borrow_mut() = RequestProgress {
             body_remaining: body,
             first_byte_by: Some(first_byte_by),
@@ -203,7 +217,7 @@
     /// the end of the stream. A reset behind the end of the stream is a `BrokenPipe`.
     fn record_write_failure(&self, error: &std::io::Error) -> bool {
         self.write_failure.set(Some(error.kind()));
-        self.has_response_begun.get() || (self.is_request_begun() && self.has_unread())
+        self.response_time.get().is_some() || (self.is_request_begun() && self.has_unread())
     }
 
     /// Returns whether a request to an endpoint has been begun with a first byte.
@@ -229,7 +243,7 @@
                 Ok(n) => {
                     let now = Instant::now();
                     self.last_read.set(now);
-                    self.has_response_begun.set(self.is_request_begun());
+                    self.record_response(now);
                     self.message_started_at
                         .set(self.message_started_at.get().or(Some(now)));
                     return Poll::Ready(Ok(n));
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -7,6 +7,7 @@
 use super::driver::MAX_DURATION;
 use super::io::is_out_of_descriptors;
 use super::limits::{Body, Limits};
+use super::response_times::ResponseTimes;
 use super::stream::{ResponseBody, StreamedRequestBody};
 use super::unsolicited::UnsolicitedBytes;
 use super::upload::UploadProgress;
@@ -266,6 +267,7 @@
     report_fields: Vec<ReportField>,
     pub(super) written_attempts: Counter,
     unsolicited: UnsolicitedBytes,
+    response_times: ResponseTimes,
     pub(super) incomplete_responses: IncompleteResponses,
     /// When a connection to each endpoint last broke or failed, until the list tells of its endpoint
     /// again; another process may have taken its address since.
@@ -294,6 +296,7 @@
             report_fields,
             written_attempts: Counter::default(),
             unsolicited: UnsolicitedBytes::default(),
+            response_times: ResponseTimes::default(),
             incomplete_responses: IncompleteResponses::default(),
             broken_at: RefCell::default(),
             awaited_endpoints: RefCell::default(),
--- a/src/net/upstream/idle.rs
+++ b/src/net/upstream/idle.rs
@@ -29,6 +29,14 @@
     conn: EndpointConnection,
     address: SocketAddr,
     since: Instant,
+    /// Time until which the last response may turn out to be that of an earlier request.
+    doubtful_until: Option<Instant>,
+}
+
+impl IdleConnection {
+    fn is_doubtful(&self, now: Instant) -> bool {
+        self.doubtful_until.is_some_and(|until| now < until)
+    }
 }
 
 /// A wait until a connection to an endpoint may be reused.
@@ -103,11 +111,13 @@
             return;
         }
         conn.socket.acknowledge();
+        let doubtful_until = self.doubtful_until(endpoint, &conn);
         conn.exchanges = conn.exchanges.saturating_add(1);
         let idle = IdleConnection {
             conn,
             address,
             since: now,
+            doubtful_until,
         };
         self.idle
             .borrow_mut()
@@ -116,10 +126,23 @@
             .push_back(idle);
     }
 
+    /// Returns until when the response that a connection has just carried may turn out to be that of
+    /// an earlier request, whose place a second response had taken: the true response is then still
+    /// to come.
+    fn doubtful_until(&self, endpoint: EndpointId, conn: &EndpointConnection) -> Option<Instant> {
+        let response_time = conn.socket.response_time()?;
+        let doubt = self.response_times.doubt(endpoint, response_time);
+        self.response_times.record(endpoint, response_time);
+        // On a new connection there is no earlier request.
+        let doubt = doubt.filter(|_| conn.exchanges > 0)?;
+        Some(conn.socket.last_written() + doubt)
+    }
+
     /// Closes the idle connections to an endpoint that was removed, restarted or moved, and forgets
-    /// its earned reuse delay.
+    /// its earned reuse delay and its response times.
     pub fn close_idle(&self, endpoint: EndpointId) {
         self.unsolicited.forget_quiet_delays(endpoint);
+        self.response_times.forget(endpoint);
         self.idle.borrow_mut().remove(&endpoint);
     }
 
@@ -206,12 +229,14 @@
         let reusable = if self.limits.upstream.has_headroom() {
             most_recent_reusable(list, address, reuse_delay, now)
         } else {
+            // Another connection instead of a doubtful one could not be opened.
             longest_idle_reusable(list, address, reuse_delay, now)
         };
         if let Some(reusable) = reusable {
             return list.remove(reusable);
         }
-        let is_candidate = |idle: &IdleConnection| idle.address == address;
+        let is_candidate =
+            |idle: &IdleConnection| idle.address == address && !idle.is_doubtful(now);
         let first = list.iter().position(is_candidate)?;
         let wait = PossibleWait {
             endpoint,
@@ -302,7 +327,7 @@
 ) -> Option<usize> {
     let rested = list.partition_point(|idle| now.duration_since(idle.since) >= reuse_delay);
     list.range(..rested)
-        .rposition(|idle| idle.address == address)
+        .rposition(|idle| idle.address == address && !idle.is_doubtful(now))
 }
 
 /// Returns the connection that has been idle longest if it may be reused.
