Play a pool whose descriptors are scarce for the connections of a reuse delay

Cause: nothing played what happens where a connection for each request of the reuse delay would exceed the descriptors, in which case the delay shrinks.

--- a/crates/loadtest/src/unsolicited.rs
+++ b/crates/loadtest/src/unsolicited.rs
@@ -100,6 +100,8 @@
     pub onset: Onset,
     /// Time that endpoints take for a response.
     pub service_time: Duration,
+    /// Sockets that an installation may use; 1,024 if `None`.
+    pub max_sockets: Option<usize>,
     /// Period during which requests are sent.
     pub duration: Duration,
     /// Seed of the random choices.
@@ -126,6 +128,7 @@
             framing: *framings.choose(&mut rng).expect("a choice"),
             onset: *Onset::value_variants().choose(&mut rng).expect("a choice"),
             service_time,
+            max_sockets: None,
             duration,
             seed,
         }
@@ -145,7 +148,7 @@
             .map(|member| Endpoint::start(EndpointScript::new(self, member)))
             .collect();
         let addresses: Vec<_> = endpoints.iter().map(|endpoint| endpoint.address).collect();
-        let proxy = RunningProxy::start(dewrun, self.deployment, &addresses);
+        let proxy = RunningProxy::start(dewrun, self, &addresses);
         let started_at = Instant::now();
         let results = thread::scope(|scope| {
             let clients = scope.spawn(|| client::run_all(self, proxy.address(), started_at));
@@ -333,6 +336,9 @@
     /// Time that endpoints take for a response, in milliseconds
     #[arg(long)]
     pub service_ms: Option<u64>,
+    /// Sockets that an installation may use
+    #[arg(long)]
+    pub sockets: Option<usize>,
 }
 
 impl Options {
@@ -351,6 +357,7 @@
             service_time: self
                 .service_ms
                 .map_or(drawn.service_time, Duration::from_millis),
+            max_sockets: self.sockets,
             ..drawn
         };
         if self.without_trailers {
--- a/crates/loadtest/src/unsolicited/process.rs
+++ b/crates/loadtest/src/unsolicited/process.rs
@@ -1,6 +1,6 @@
 //! The proxy of a play, in either deployment.
 
-use super::Deployment;
+use super::{Deployment, Play};
 use dewrun_test_support::{config, entry, free_address, list, Daemon, Discovery, Folder, Proxy};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,6 +13,7 @@
         address: SocketAddr,
         folder: Folder,
         members: Vec<SocketAddr>,
+        max_sockets: Option<usize>,
     },
     /// The platform's proxy.
     Platform { proxy: Proxy, discovery: Discovery },
@@ -20,13 +21,9 @@
 
 impl RunningProxy {
     /// Starts a proxy for endpoints.
-    pub(super) fn start(
-        dewrun: &str,
-        deployment: Deployment,
-        endpoints: &[SocketAddr],
-    ) -> RunningProxy {
-        match deployment {
-            Deployment::Installation => start_installation(dewrun, endpoints),
+    pub(super) fn start(dewrun: &str, play: &Play, endpoints: &[SocketAddr]) -> RunningProxy {
+        match play.deployment {
+            Deployment::Installation => start_installation(dewrun, endpoints, play.max_sockets),
             Deployment::Platform => start_platform(dewrun, endpoints),
         }
     }
@@ -55,8 +52,10 @@
                 address,
                 folder,
                 members,
+                max_sockets,
             } => {
-                folder.put("dewrun.toml", &operator_file(*address, members, 4));
+                let changed = operator_file(*address, members, *max_sockets, 4);
+                folder.put("dewrun.toml", &changed);
                 daemon.signal("-HUP");
                 daemon.wait_for_log("reloaded");
             }
@@ -69,20 +68,31 @@
 }
 
 /// Returns an operator's file with one pool.
-fn operator_file(address: SocketAddr, members: &[SocketAddr], attempts: u32) -> String {
+fn operator_file(
+    address: SocketAddr,
+    members: &[SocketAddr],
+    max_sockets: Option<usize>,
+    attempts: u32,
+) -> String {
+    let limits = max_sockets.map_or(String::new(), |max| format!("[limits]\nsockets = {max}\n"));
     let members: Vec<String> = members.iter().map(|m| format!("\"{m}\"")).collect();
     format!(
-        "[[listener]]\nname = \"main\"\naddress = \"{address}\"\n\
+        "{limits}[[listener]]\nname = \"main\"\naddress = \"{address}\"\n\
          [[pool]]\nname = \"main\"\nwarm_up = \"0s\"\nattempts = {attempts}\nmembers = [{}]\n\
          [[route]]\npool = \"main\"\n",
         members.join(", ")
     )
 }
 
-fn start_installation(dewrun: &str, endpoints: &[SocketAddr]) -> RunningProxy {
+fn start_installation(
+    dewrun: &str,
+    endpoints: &[SocketAddr],
+    max_sockets: Option<usize>,
+) -> RunningProxy {
     let folder = Folder::new();
     let address = free_address();
-    let file = folder.put("dewrun.toml", &operator_file(address, endpoints, 3));
+    let text = operator_file(address, endpoints, max_sockets, 3);
+    let file = folder.put("dewrun.toml", &text);
     let file = file.to_str().expect("a path in UTF-8");
     let mut daemon = Daemon::start(dewrun, &["serve", "--config", file], &[]);
     daemon.wait_until_listening(address);
@@ -91,6 +101,7 @@
         address,
         folder,
         members: endpoints.to_vec(),
+        max_sockets,
     }
 }
 
--- a/tests/unsolicited.rs
+++ b/tests/unsolicited.rs
@@ -6,6 +6,8 @@
 
 const DEWRUN: &str = env!("CARGO_BIN_EXE_dewrun");
 const DURATION: Duration = Duration::from_secs(2);
+/// Sockets of which an installation can't have one for each request of the reuse delay.
+const FEW_SOCKETS: usize = 96;
 const PLATFORM_RATE_PER_S: f64 = 100.0;
 /// Connections per request that a pool may open, of requests that need no connection of their own. The
 /// first requests of a play open most of them.
@@ -23,6 +25,7 @@
         framing: Framing::Length,
         onset: Onset::Later,
         service_time: Duration::from_millis(2),
+        max_sockets: None,
         duration: DURATION * 2,
         seed: 204,
     }
@@ -96,3 +99,19 @@
         assert!(report.connections as f64 <= allowed, "{play}: {report}");
     }
 }
+
+/// Guards against requests that wait for, or open a connection each, where the connections of a reuse delay
+/// exceed the descriptors.
+#[test]
+fn requests_share_few_connections_without_waiting_for_the_reuse_delay() {
+    let play = Play {
+        members: 1,
+        rate_per_s: 1_200.0,
+        max_sockets: Some(FEW_SOCKETS),
+        ..copies(Duration::ZERO, false).without_trailers()
+    };
+    let report = play.run(DEWRUN);
+    assert!(report.is_sound(), "{play}: {report}");
+    let allowed = report.calls as f64 * MAX_CONNECTIONS_PER_REQUEST;
+    assert!(report.connections as f64 <= allowed, "{play}: {report}");
+}
