Wait for a connection at rest for up to 50 ms before another is opened

Cause: the connection of a response in less than half of the usual time rests until twice that time. The usual time was that of the first response of all, which had waited for its connection to be accepted. A request that found only such a connection opened another.

Change: a doubtful connection is waited for like one that has not rested long enough, if the wait is at most 50 ms. No connection is reused sooner than before.

--- a/src/net/upstream/idle.rs
+++ b/src/net/upstream/idle.rs
@@ -20,6 +20,8 @@
 /// up to 40 ms, and the endpoint's system may hold a second response back for as long; the
 /// remainder allows for an endpoint that is late itself.
 const INITIAL_REUSE_DELAY: Duration = Duration::from_millis(50);
+/// Longest time that a request waits until a connection may be reused, instead of opening another.
+const MAX_REUSE_WAIT: Duration = INITIAL_REUSE_DELAY;
 /// Exchanges after which a quiet delay counts. The first one shows little, since systems do not
 /// delay the acknowledgement of a connection's first bytes.
 const MIN_EXCHANGES_FOR_EVIDENCE: u32 = 2;
@@ -34,11 +36,22 @@
 }
 
 impl IdleConnection {
-    fn is_doubtful(&self, now: Instant) -> bool {
-        self.doubtful_until.is_some_and(|until| now < until)
+    /// Returns how long it takes until the connection may be reused.
+    fn remaining(&self, reuse_delay: Duration, now: Instant) -> Duration {
+        let rest = reuse_delay.saturating_sub(now.saturating_duration_since(self.since));
+        let doubt = self
+            .doubtful_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+        rest.max(doubt)
     }
 }
 
+/// An idle connection that a request uses after a wait, which may be zero.
+struct ChosenConnection {
+    idle: IdleConnection,
+    wait: Duration,
+}
+
 /// A wait until a connection to an endpoint may be reused.
 struct PossibleWait {
     endpoint: EndpointId,
@@ -189,8 +202,8 @@
 
     /// Takes the most recently used connection to an endpoint that is open and may be reused. If
     /// none may be reused yet, waits for the first one that may. Returns `None` if a new connection
-    /// may be opened instead, or if the wait would take over half of the time until the write
-    /// deadline.
+    /// may be opened instead, or if the wait would take over [`MAX_REUSE_WAIT`] or over half
+    /// of the time until the write deadline.
     pub(in crate::net) async fn take_idle(
         &self,
         target: Target,
@@ -204,11 +217,10 @@
                 return None;
             }
             let reuse_delay = self.reuse_delay(endpoint, now);
-            let idle = self.choose_idle(target, times, reuse_delay)?;
+            let ChosenConnection { idle, wait } = self.choose_idle(target, times, reuse_delay)?;
             // Even a sleep of zero length waits for the next millisecond of the runtime.
-            let remaining = reuse_delay.saturating_sub(idle.since.elapsed());
-            if !remaining.is_zero() {
-                self.wait_for_reuse(endpoint, &idle.conn, remaining).await;
+            if !wait.is_zero() {
+                self.wait_for_reuse(endpoint, &idle.conn, wait).await;
             }
             if self.is_usable(endpoint, &idle) {
                 return Some(idle.conn);
@@ -222,7 +234,7 @@
         Target { endpoint, address }: Target,
         times: AttemptTimes,
         reuse_delay: Duration,
-    ) -> Option<IdleConnection> {
+    ) -> Option<ChosenConnection> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&endpoint)?;
         let now = Instant::now();
@@ -233,20 +245,24 @@
             longest_idle_reusable(list, address, reuse_delay, now)
         };
         if let Some(reusable) = reusable {
-            return list.remove(reusable);
+            let idle = list.remove(reusable)?;
+            let wait = Duration::ZERO;
+            return Some(ChosenConnection { idle, wait });
         }
-        let is_candidate =
-            |idle: &IdleConnection| idle.address == address && !idle.is_doubtful(now);
-        let first = list.iter().position(is_candidate)?;
+        let (next, remaining) = next_reusable(list, address, reuse_delay, now)?;
         let wait = PossibleWait {
             endpoint,
-            remaining: reuse_delay.saturating_sub(now.duration_since(list[first].since)),
+            remaining,
             is_delay_short: reuse_delay <= REUSE_DELAY,
         };
         let time_to_write = times.write_deadline().saturating_duration_since(now);
-        let should_wait =
-            wait.remaining <= time_to_write / 2 && !self.should_open_another(&wait, times);
-        should_wait.then(|| list.remove(first)).flatten()
+        let max_wait = MAX_REUSE_WAIT.min(time_to_write / 2);
+        if wait.remaining > max_wait || self.should_open_another(&wait, times) {
+            return None;
+        }
+        let idle = list.remove(next)?;
+        let wait = wait.remaining;
+        Some(ChosenConnection { idle, wait })
     }
 
     /// Waits until a connection may be reused; with ordinary HTTP only until its endpoint closes
@@ -327,7 +343,23 @@
 ) -> Option<usize> {
     let rested = list.partition_point(|idle| now.duration_since(idle.since) >= reuse_delay);
     list.range(..rested)
-        .rposition(|idle| idle.address == address && !idle.is_doubtful(now))
+        .rposition(|idle| idle.address == address && idle.remaining(reuse_delay, now).is_zero())
+}
+
+/// Returns the connection that may be reused next, and how long it takes until then.
+fn next_reusable(
+    list: &VecDeque<IdleConnection>,
+    address: SocketAddr,
+    reuse_delay: Duration,
+    now: Instant,
+) -> Option<(usize, Duration)> {
+    let candidates = list
+        .iter()
+        .enumerate()
+        .filter(|(_, idle)| idle.address == address);
+    candidates
+        .map(|(position, idle)| (position, idle.remaining(reuse_delay, now)))
+        .min_by_key(|(_, remaining)| *remaining)
 }
 
 /// Returns the connection that has been idle longest if it may be reused.
--- a/tests/installation/reuse.rs
+++ b/tests/installation/reuse.rs
@@ -12,6 +12,10 @@
 const MAX_RUNS: usize = 20;
 /// Time from a response to the close of its connection.
 const TIME_TO_CLOSE: Duration = Duration::from_millis(5);
+/// Time of a first response; the other responses come at once.
+const SLOW_START: Duration = Duration::from_millis(30);
+/// Idle time of a connection between requests, shorter than any reuse delay.
+const PAUSE: Duration = Duration::from_millis(20);
 
 /// Asserts that one of several runs yields the expected value. On a busy machine more than the reuse
 /// delay may pass between two requests, so that no request has to wait.
@@ -60,6 +64,26 @@
     });
 }
 
+/// Guards against a connection more for each request after a first response that was slow, beside
+/// which the others seem to come too soon to be their own.
+#[test]
+fn requests_after_a_slow_first_response_share_its_connection() {
+    some_run_yields(&1, || {
+        let endpoint = Backend::start(|number, stream| {
+            let is_first = number == 0;
+            thread::sleep(if is_first { SLOW_START } else { Duration::ZERO });
+            stream.write_all(ok("fine").as_bytes()).is_ok()
+        });
+        let installation = Installation::with_members(&[endpoint.address]);
+        let mut client = Connection::open(installation.address);
+        for _ in 0..4 {
+            assert_eq!(client.send(&get("/")).expect("a response").status(), 200);
+            thread::sleep(PAUSE);
+        }
+        endpoint.connections.load(Ordering::SeqCst)
+    });
+}
+
 /// Guards against a wait for a connection that its member closes without `Connection: close`.
 #[test]
 fn a_member_that_closes_its_connections_delays_no_request() {
