Let the endpoint of a test respond to a read however often it is tried

The endpoint responded to its first six requests and to none after them, while each of the six reads may be retried.

--- a/tests/proxy/hostile.rs
+++ b/tests/proxy/hostile.rs
@@ -166,7 +166,11 @@
 
 #[test]
 fn a_callers_numbers_are_not_trusted() {
-    let endpoint = Backend::start(|n, stream| n > 5 || stream.write_all(OK.as_bytes()).is_ok());
+    // Responses do not depend on the number of requests, since a read may be retried.
+    let endpoint = Backend::start_unrecorded(|message, stream| {
+        let is_silent = message.header("request-id") == Some("e9");
+        is_silent || stream.write_all(OK.as_bytes()).is_ok()
+    });
     let (proxy, _discovery) = proxy_with_replaced_setting(&endpoint, "20000", "700");
     for (n, hint) in ["NaN", "inf", "-inf", "-5", "1e999", "much"]
         .iter()
