Choose among idle connections in a module of its own

Which connection may be reused, and when, was decided by three functions with the same four parameters, and whether descriptors are plentiful was asked in three places of one request. The first are methods of ReusableConnections now, in their own file, and the second is asked once, for ReusePolicy. Behaviour is the same.

--- a/src/net/upstream/idle.rs
+++ b/src/net/upstream/idle.rs
@@ -1,13 +1,17 @@
 //! Idle connections to endpoints and their reuse delays.
 
+mod reusable;
+
 use super::{AttemptTimes, EndpointConnection, Reuse, Upstream, UpstreamProtocol};
 use crate::net::attempts::Target;
 use dewrun_balancer::EndpointId;
-use std::collections::VecDeque;
+use reusable::ReusableConnections;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
 
+pub(super) use reusable::IdleConnection;
+
 /// Time that a connection stays idle after a response before it is reused: bytes that follow a
 /// response must be seen first, or they would be taken for the next response. A second response may
 /// be some milliseconds late.
@@ -26,23 +30,19 @@
 /// delay the acknowledgement of a connection's first bytes.
 const MIN_EXCHANGES_FOR_EVIDENCE: u32 = 2;
 
-/// An idle connection.
-pub(super) struct IdleConnection {
-    conn: EndpointConnection,
-    address: SocketAddr,
-    since: Instant,
-    /// Time until which the last response may turn out to be that of an earlier request.
-    doubtful_until: Option<Instant>,
+/// The conditions under which a request reuses connections to an endpoint.
+#[derive(Clone, Copy)]
+struct ReusePolicy {
+    /// Time that a connection stays idle before it is reused.
+    delay: Duration,
+    /// Whether descriptors are plentiful.
+    has_headroom: bool,
 }
 
-impl IdleConnection {
-    /// Returns how long it takes until the connection may be reused.
-    fn remaining(&self, reuse_delay: Duration, now: Instant) -> Duration {
-        let rest = reuse_delay.saturating_sub(now.saturating_duration_since(self.since));
-        let doubt = self
-            .doubtful_until
-            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
-        rest.max(doubt)
+impl ReusePolicy {
+    /// Returns whether the delay is one that the endpoint has earned.
+    fn is_delay_short(self) -> bool {
+        self.delay <= REUSE_DELAY
     }
 }
 
@@ -57,8 +57,6 @@
     endpoint: EndpointId,
     /// How long it would take.
     remaining: Duration,
-    /// Whether the endpoint has earned a short reuse delay.
-    is_delay_short: bool,
 }
 
 /// A request that waits until a connection to an endpoint may be reused.
@@ -77,14 +75,18 @@
 }
 
 impl Upstream {
-    /// Returns the time that a connection to an endpoint stays idle before it is reused.
-    fn reuse_delay(&self, endpoint: EndpointId, now: Instant) -> Duration {
-        if !self.unsolicited.has_earned_short_delays(endpoint, now) {
+    fn reuse_policy(&self, endpoint: EndpointId, now: Instant) -> ReusePolicy {
+        let has_headroom = self.limits.upstream.has_headroom();
+        let delay = if !self.unsolicited.has_earned_short_delays(endpoint, now) {
             self.initial_reuse_delay()
-        } else if self.limits.upstream.has_headroom() {
+        } else if has_headroom {
             REUSE_DELAY
         } else {
             self.min_reuse_delay()
+        };
+        ReusePolicy {
+            delay,
+            has_headroom,
         }
     }
 
@@ -216,8 +218,8 @@
                 self.idle.borrow_mut().remove(&endpoint);
                 return None;
             }
-            let reuse_delay = self.reuse_delay(endpoint, now);
-            let ChosenConnection { idle, wait } = self.choose_idle(target, times, reuse_delay)?;
+            let policy = self.reuse_policy(endpoint, now);
+            let ChosenConnection { idle, wait } = self.choose_idle(target, times, policy)?;
             // Even a sleep of zero length waits for the next millisecond of the runtime.
             if !wait.is_zero() {
                 self.wait_for_reuse(endpoint, &idle.conn, wait).await;
@@ -233,34 +235,39 @@
         &self,
         Target { endpoint, address }: Target,
         times: AttemptTimes,
-        reuse_delay: Duration,
+        policy: ReusePolicy,
     ) -> Option<ChosenConnection> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&endpoint)?;
         let now = Instant::now();
-        let reusable = if self.limits.upstream.has_headroom() {
-            most_recent_reusable(list, address, reuse_delay, now)
+        let connections = ReusableConnections {
+            list,
+            address,
+            reuse_delay: policy.delay,
+            now,
+        };
+        let reusable = if policy.has_headroom {
+            connections.most_recent()
         } else {
             // Another connection instead of a doubtful one could not be opened.
-            longest_idle_reusable(list, address, reuse_delay, now)
+            connections.longest_idle()
         };
         if let Some(reusable) = reusable {
             let idle = list.remove(reusable)?;
             let wait = Duration::ZERO;
             return Some(ChosenConnection { idle, wait });
         }
-        let (next, remaining) = next_reusable(list, address, reuse_delay, now)?;
+        let next = connections.next()?;
         let wait = PossibleWait {
             endpoint,
-            remaining,
-            is_delay_short: reuse_delay <= REUSE_DELAY,
+            remaining: next.remaining,
         };
         let time_to_write = times.write_deadline().saturating_duration_since(now);
         let max_wait = MAX_REUSE_WAIT.min(time_to_write / 2);
-        if wait.remaining > max_wait || self.should_open_another(&wait, times) {
+        if wait.remaining > max_wait || self.should_open_another(&wait, policy, times) {
             return None;
         }
-        let idle = list.remove(next)?;
+        let idle = list.remove(next.position)?;
         let wait = wait.remaining;
         Some(ChosenConnection { idle, wait })
     }
@@ -285,19 +292,25 @@
     /// Returns whether to open another connection instead of waiting until one may be reused. One
     /// request at a time waits per endpoint: sequential requests share a connection, and concurrent
     /// requests are not delayed while there is room for connections.
-    fn should_open_another(&self, wait: &PossibleWait, times: AttemptTimes) -> bool {
+    fn should_open_another(
+        &self,
+        wait: &PossibleWait,
+        policy: ReusePolicy,
+        times: AttemptTimes,
+    ) -> bool {
         let is_other_waiting = self.awaited_endpoints.borrow().contains(&wait.endpoint);
-        let has_headroom = self.limits.upstream.has_headroom();
         match self.protocol {
             // Endpoints accept few connections, and requests take hundreds of milliseconds.
             UpstreamProtocol::Platform => {
-                wait.is_delay_short
+                policy.is_delay_short()
                     && wait.remaining > MIN_PLATFORM_REUSE_DELAY
                     && is_other_waiting
-                    && has_headroom
+                    && policy.has_headroom
+            }
+            UpstreamProtocol::Http if !policy.is_delay_short() && !times.may_wait_for_reuse => true,
+            UpstreamProtocol::Http => {
+                (policy.is_delay_short() || is_other_waiting) && policy.has_headroom
             }
-            UpstreamProtocol::Http if !wait.is_delay_short && !times.may_wait_for_reuse => true,
-            UpstreamProtocol::Http => (wait.is_delay_short || is_other_waiting) && has_headroom,
         }
     }
 
@@ -332,43 +345,3 @@
         }
     }
 }
-
-/// Returns the connection that was used last among those that may be reused. The list is in the
-/// order in which the connections became idle.
-fn most_recent_reusable(
-    list: &VecDeque<IdleConnection>,
-    address: SocketAddr,
-    reuse_delay: Duration,
-    now: Instant,
-) -> Option<usize> {
-    let rested = list.partition_point(|idle| now.duration_since(idle.since) >= reuse_delay);
-    list.range(..rested)
-        .rposition(|idle| idle.address == address && idle.remaining(reuse_delay, now).is_zero())
-}
-
-/// Returns the connection that may be reused next, and how long it takes until then.
-fn next_reusable(
-    list: &VecDeque<IdleConnection>,
-    address: SocketAddr,
-    reuse_delay: Duration,
-    now: Instant,
-) -> Option<(usize, Duration)> {
-    let candidates = list
-        .iter()
-        .enumerate()
-        .filter(|(_, idle)| idle.address == address);
-    candidates
-        .map(|(position, idle)| (position, idle.remaining(reuse_delay, now)))
-        .min_by_key(|(_, remaining)| *remaining)
-}
-
-/// Returns the connection that has been idle longest if it may be reused.
-fn longest_idle_reusable(
-    list: &VecDeque<IdleConnection>,
-    address: SocketAddr,
-    reuse_delay: Duration,
-    now: Instant,
-) -> Option<usize> {
-    let first = list.iter().position(|idle| idle.address == address)?;
-    (now.duration_since(list[first].since) >= reuse_delay).then_some(first)
-}
