Assert in one place what the requests of a cascade get

The two tests of cascades, in installations and on the platform, had the same assertion with the same comment. It is a method of Cascade now; what is asserted is the same.

--- a/crates/test-support/src/late_copies.rs
+++ b/crates/test-support/src/late_copies.rs
@@ -56,7 +56,7 @@
     /// The pause before each request.
     pub pauses: Vec<Duration>,
     /// Number of the first request behind the one that gets the copy.
-    pub first_protected: usize,
+    first_protected: usize,
 }
 
 impl Cascade {
@@ -76,6 +76,14 @@
             first_protected: EARNING_RESPONSES + 2,
         }
     }
+
+    /// Asserts that the requests `s0`, `s1` and so on got their own responses from the first one behind
+    /// the request that gets the copy; that copy arrives with its request, after any reuse delay.
+    pub fn assert_own_responses(&self, bodies: &[String]) {
+        let next = self.first_protected;
+        let expected: Vec<String> = (next..self.pauses.len()).map(|n| format!("s{n}")).collect();
+        assert_eq!(bodies[next..], expected, "{bodies:?}");
+    }
 }
 
 /// A copy that must be written on a connection before its next response.
--- a/tests/installation/late_answers.rs
+++ b/tests/installation/late_answers.rs
@@ -102,10 +102,5 @@
 fn a_response_displaced_after_short_reuse_delays_is_not_delivered_to_a_third_request() {
     let cascade = Cascade::after_short_reuse_delays();
     let bodies = response_bodies(&cascade.answers, &cascade.pauses);
-    // The copy itself arrives together with the next request, after any reuse delay.
-    let next = cascade.first_protected;
-    let expected: Vec<String> = (next..cascade.pauses.len())
-        .map(|n| format!("s{n}"))
-        .collect();
-    assert_eq!(bodies[next..], expected, "{bodies:?}");
+    cascade.assert_own_responses(&bodies);
 }
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -112,10 +112,5 @@
 fn a_response_displaced_after_short_reuse_delays_reaches_no_third_request() {
     let cascade = Cascade::after_short_reuse_delays();
     let bodies = run(&cascade.answers, &cascade.pauses);
-    // The copy itself arrives together with the next request, after any reuse delay.
-    let next = cascade.first_protected;
-    let expected: Vec<String> = (next..cascade.pauses.len())
-        .map(|n| format!("s{n}"))
-        .collect();
-    assert_eq!(bodies[next..], expected, "{bodies:?}");
+    cascade.assert_own_responses(&bodies);
 }
